--- a/include/hyssopkeel/log.h
+++ b/include/hyssopkeel/log.h
@@ -19,6 +19,16 @@
  */
 int hk_log_init (const char *level);
 
+/**
+ * hk_log_init_stdout() - send log lines to standard output, bounded.
+ * @level: "error", "warn", "info" or "debug".
+ *
+ * Lines are dropped and counted rather than waited for.
+ *
+ * Return: 0, or HK_ERR_INVALID for an unknown level.
+ */
+int hk_log_init_stdout (const char *level);
+
 /**
  * hk_log() - write one key=value line.
  * @level: severity.
--- /dev/null
+++ b/include/hyssopkeel/slots.h
@@ -0,0 +1,56 @@
+#ifndef HYSSOPKEEL_SLOTS_H
+#define HYSSOPKEEL_SLOTS_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/**
+ * struct hk_slots_need - what a task needs.
+ * @fills: it takes what others leave, and counts against no capacity.
+ * @per_instance_max: runs of its step on one instance; 0 for no limit.
+ */
+struct hk_slots_need
+{
+  unsigned cpu_milli;
+  unsigned memory_mb;
+  unsigned accelerators;
+  gboolean fills;
+  unsigned per_instance_max;
+};
+
+/**
+ * struct hk_slots_view - an instance as far as it is known.
+ * @cpu_free_milli: capacity that no counted run takes.
+ * @fill_cpu_milli: asked for by runs that fill.
+ * @same_step: runs of the same step there.
+ * @slowness: learned run time against the mean; 1 is usual.
+ * @failing: share of recent runs that failed, 0 to 1.
+ * @usable: in service, right pool and labels.
+ * @avoid: a run of the same task is or was there.
+ */
+struct hk_slots_view
+{
+  int64_t cpu_free_milli;
+  int64_t memory_free_mb;
+  int64_t accelerators_free;
+  int64_t fill_cpu_milli;
+  int64_t cpu_milli;
+  unsigned same_step;
+  double slowness;
+  double failing;
+  gboolean usable;
+  gboolean avoid;
+};
+
+/**
+ * hk_slots_choose() - instance for a task.
+ * @views: @n instances.
+ * @n: their number.
+ * @need: what the task needs.
+ *
+ * Return: index, or -1 if it fits nowhere now.
+ */
+int hk_slots_choose (const struct hk_slots_view *views, unsigned n,
+                     const struct hk_slots_need *need);
+
+#endif
--- a/include/hyssopkeel/store.h
+++ b/include/hyssopkeel/store.h
@@ -15,6 +15,13 @@
 #define HK_KEY_AUDIT "/hyssopkeel/audit/"
 #define HK_KEY_CLAIMS "/hyssopkeel/claims/"
 
+/* Keys of the job engine: who leads, the fence that every commit moves, what
+   was submitted, and how far it is. */
+#define HK_KEY_LEAD "hyssopkeel/lead"
+#define HK_KEY_FENCE "hyssopkeel/fence"
+#define HK_KEY_SPECS "hyssopkeel/spec/"
+#define HK_KEY_PROGRESS "hyssopkeel/job/"
+
 /**
  * struct hk_store_kv - one key with its value.
  * @key: key, NUL-terminated.
@@ -58,7 +65,8 @@
  * struct hk_store_op - one operation of a transaction.
  * @type: kind of operation.
  * @key: key.
- * @value: text to put.
+ * @value: bytes to put.
+ * @len: length of @value in bytes; 0 if it is a text that ends with a NUL.
  * @lease: lease a put is bound to, or 0.
  */
 struct hk_store_op
@@ -66,6 +74,7 @@
   enum hk_store_op_type type;
   const char *key;
   const char *value;
+  size_t len;
   int64_t lease;
 };
 
@@ -80,7 +89,8 @@
   int64_t mod_revision;
 };
 
-#define HK_STORE_TXN_OPS 4
+/* Rows of each kind; a driver may have a lower limit for all rows together. */
+#define HK_STORE_TXN_OPS 32
 
 /**
  * struct hk_store_txn - compare, then apply @then or else @otherwise.
--- /dev/null
+++ b/src/coord/coord.h
@@ -0,0 +1,171 @@
+#ifndef COORD_H
+#define COORD_H
+
+#include "hyssopkeel/coord.h"
+
+#include <string.h>
+
+#include "hyssopkeel/clock.h"
+#include "hyssopkeel/engine.h"
+#include "hyssopkeel/log.h"
+#include "hyssopkeel/metrics.h"
+#include "hyssopkeel/rpc_channel.h"
+#include "hyssopkeel/rpc_server.h"
+#include "hyssopkeel/timer.h"
+
+enum coord_state
+{
+  COORD_FOLLOWING,
+  COORD_TAKING,
+  COORD_LOADING,
+  COORD_LEADING
+};
+
+/* A caller that waits until a version of a job is in the store. */
+struct coord_waiter
+{
+  uint64_t version;
+  hk_ask_reply reply;
+  hk_ask_done done;
+  void *user;
+  LIST_ENTRY (coord_waiter) link;
+};
+
+LIST_HEAD (coord_waiters, coord_waiter);
+
+/* An end that an agent may forget once it is in the store. */
+struct coord_end
+{
+  char *job;
+  unsigned step;
+  unsigned index;
+  unsigned run;
+  uint64_t version;
+  int64_t told_ms;
+};
+
+/* Connection state of one agent. */
+struct coord_link
+{
+  struct hk_coord *c;
+  struct hk_instance *in;
+  struct hk_rpc_request *parked;
+  int64_t received_ms;
+  int64_t last_stop_ms;
+  struct hk_timer wait;
+  GArray *ends;   /* of coord_end, from the last report */
+  GArray *strays; /* of hk_run_id, runs reported that nobody wants */
+};
+
+/* Commits are sent one after another; each names the revision of the fence,
+   so that an old one fails however late it arrives. */
+struct coord_commit
+{
+  gboolean in_flight;
+  gboolean uncertain;
+  uint64_t seq;
+  int64_t fence_rev;
+  int64_t sent_ms;
+  int64_t confirmed_ms;
+  int64_t failing_since_ms;
+  unsigned failures;
+  GPtrArray *jobs;
+  GPtrArray *forgotten;
+  struct hk_timer retry;
+};
+
+/* Who leads, as this process believes. */
+struct coord_leader
+{
+  char *name;
+  char *address;
+  uint64_t term;
+  int64_t lead_rev;
+  int64_t believed_ms;
+  struct hk_rpc_channel channel;
+  gboolean connected;
+  gboolean pinging;
+  unsigned missed;
+};
+
+struct hk_coord
+{
+  struct hk_store *store;
+  char *name;
+  char *address;
+  struct hk_authority authority;
+  int64_t keep_ended_ms;
+
+  enum coord_state state;
+  uint64_t term;
+  gboolean resigned;
+  gboolean started;
+  gboolean reading_lead;
+  struct coord_leader leader;
+  struct hk_store_watch *watch;
+  int64_t watch_from;
+  int64_t store_heard_ms;
+  int64_t taken_over_ms;
+  struct hk_timer watch_retry;
+  struct hk_timer ping_timer;
+  struct hk_timer take_timer;
+  struct hk_timer tick_timer;
+  struct hk_timer pass_timer;
+  gboolean pass_due;
+
+  struct hk_engine engine;
+  gboolean engine_ready;
+  struct coord_commit commit;
+  GHashTable *loading;
+  struct hk_rpc_server server;
+  GHashTable *estimates;
+  LIST_HEAD (, coord_question) questions;
+  int64_t tick_count;
+  int64_t overload_until_ms;
+};
+
+/* coord_lead.c */
+void coord_follow_start (struct hk_coord *c);
+void coord_follow_stop (struct hk_coord *c);
+void coord_suspect (struct hk_coord *c, const char *why);
+void coord_step_down (struct hk_coord *c, const char *why);
+
+/* coord_load.c */
+void coord_load (struct hk_coord *c);
+
+/* coord_commit.c */
+void coord_commit_init (struct hk_coord *c);
+void coord_commit_finish (struct hk_coord *c);
+void coord_commit_next (struct hk_coord *c);
+gboolean coord_store_failing (const struct hk_coord *c, int64_t now);
+
+/* coord_sync.c */
+void coord_on_sync (struct hk_rpc_request *req, void *args, void *user);
+void coord_links_answer (struct hk_coord *c);
+void coord_links_drop (struct hk_coord *c);
+void coord_links_check (struct hk_coord *c, int64_t now);
+
+/* coord_ask.c */
+void coord_on_ask (struct hk_rpc_request *req, void *args, void *user);
+void coord_answer_ask (struct hk_coord *c, const hk_ask_args *args,
+                       hk_ask_done done, void *user);
+void coord_waiters_fire (struct hk_engine_job *job);
+void coord_waiters_drop (struct hk_engine_job *job);
+void coord_questions_retry (struct hk_coord *c);
+void coord_questions_drop (struct hk_coord *c);
+
+/* coord_schedule.c */
+void coord_schedule (struct hk_coord *c, int64_t now);
+void coord_estimates_init (struct hk_coord *c);
+void coord_learn (struct hk_coord *c, const struct hk_run *run, hk_end_how how,
+                  int64_t now);
+int64_t coord_estimate_ms (struct hk_coord *c,
+                           const struct hk_engine_step *step);
+gboolean coord_admit (struct hk_coord *c, const hk_job_spec *spec,
+                      unsigned *retry_after_s, const char **reason);
+
+/* coord.c */
+void coord_kick (struct hk_coord *c);
+int64_t coord_wall_ms (void);
+
+#endif
--- /dev/null
+++ b/src/coord/coord_commit.c
@@ -0,0 +1,293 @@
+/* Group commit: one transaction at a time carries whatever has changed since
+   the last. Each compares the revision of the fence and moves it, so of two
+   transactions made under one revision only one can ever be carried out; one
+   that got no answer needs no other resolution than the next. */
+#include "coord.h"
+
+#include "hyssopkeel/json.h"
+
+/* Rows of a transaction that are left beside the fence's own two. */
+#define ROWS_MAX 29
+/* Bytes of a transaction before coding, so that it leaves a small link soon.
+ */
+#define BYTES_MAX 262144
+/* An idle coordinator proves that it still leads this often; a third of the
+   shortest chain of grants. */
+#define IDLE_COMMIT_MS 700
+/* Pause after a failed commit, doubled up to the limit. */
+#define RETRY_MIN_MS 15
+#define RETRY_MAX_MS 240
+/* Commits that fail for this long make new work be refused at once: it could
+   not be stored before its caller gives up. */
+#define FAILING_MS 700
+
+/* What one transaction is made of while it is built. */
+struct build
+{
+  struct hk_store_txn *txn;
+  GPtrArray *texts;
+  size_t rows;
+  size_t bytes;
+};
+
+/* A commit on its way; late answers are told by their number. */
+struct attempt
+{
+  struct hk_coord *c;
+  uint64_t term;
+  uint64_t seq;
+};
+
+void
+coord_commit_init (struct hk_coord *c)
+{
+  memset (&c->commit, 0, sizeof c->commit);
+  c->commit.jobs = g_ptr_array_new ();
+  c->commit.forgotten = g_ptr_array_new_with_free_func (g_free);
+}
+
+void
+coord_commit_finish (struct hk_coord *c)
+{
+  hk_timer_clear (&c->commit.retry);
+  g_clear_pointer (&c->commit.jobs, g_ptr_array_unref);
+  g_clear_pointer (&c->commit.forgotten, g_ptr_array_unref);
+}
+
+gboolean
+coord_store_failing (const struct hk_coord *c, int64_t now)
+{
+  const struct coord_commit *k = &c->commit;
+
+  if (k->failing_since_ms && now - k->failing_since_ms > FAILING_MS)
+    return TRUE;
+  return k->in_flight && now - k->sent_ms > FAILING_MS;
+}
+
+static void
+add (struct build *b, enum hk_store_op_type type, char *key, char *value,
+     size_t len)
+{
+  g_ptr_array_add (b->texts, key);
+  if (value)
+    g_ptr_array_add (b->texts, value);
+  b->txn->then[b->txn->n_then++]
+      = (struct hk_store_op){ type, key, value, len, 0 };
+  b->rows++;
+  b->bytes += len;
+}
+
+static void
+add_job (struct build *b, struct hk_engine_job *job)
+{
+  gboolean live = hk_engine_wants (job) || job->n_runs > 0;
+  char *bytes = NULL;
+  size_t len = 0;
+
+  if (live && !job->stored_spec
+      && hk_engine_encode_spec (&bytes, &len, job) == HK_OK)
+    add (b, HK_STORE_PUT, g_strconcat (HK_KEY_SPECS, job->spec.id, NULL),
+         bytes, len);
+  else if (!live && job->stored_spec)
+    add (b, HK_STORE_DELETE, g_strconcat (HK_KEY_SPECS, job->spec.id, NULL),
+         NULL, 0);
+  if (hk_engine_encode_progress (&bytes, &len, job) == HK_OK)
+    add (b, HK_STORE_PUT, g_strconcat (HK_KEY_PROGRESS, job->spec.id, NULL),
+         bytes, len);
+  job->sent = job->version;
+  job->sent_state = job->state;
+  job->sent_live = live;
+}
+
+static void
+take_dirty (struct hk_coord *c, struct build *b)
+{
+  struct hk_engine *e = &c->engine;
+  struct hk_engine_job *job;
+
+  while ((job = TAILQ_FIRST (&e->dirty)) && b->rows + 2 <= ROWS_MAX
+         && b->bytes < BYTES_MAX)
+    {
+      TAILQ_REMOVE (&e->dirty, job, dirty_link);
+      job->dirty = FALSE;
+      e->n_dirty--;
+      add_job (b, job);
+      g_ptr_array_add (c->commit.jobs, job);
+    }
+  for (guint i = 0; i < c->commit.forgotten->len && b->rows < ROWS_MAX; i++)
+    add (b, HK_STORE_DELETE,
+         g_strconcat (HK_KEY_PROGRESS, (char *)c->commit.forgotten->pdata[i],
+                      NULL),
+         NULL, 0);
+}
+
+/* The jobs of a failed commit go out again with the next, first. */
+static void
+put_back (struct hk_coord *c)
+{
+  for (guint i = c->commit.jobs->len; i > 0; i--)
+    {
+      struct hk_engine_job *job = c->commit.jobs->pdata[i - 1];
+
+      if (job->dirty)
+        TAILQ_REMOVE (&c->engine.dirty, job, dirty_link);
+      else
+        c->engine.n_dirty++;
+      job->dirty = TRUE;
+      TAILQ_INSERT_HEAD (&c->engine.dirty, job, dirty_link);
+    }
+  g_ptr_array_set_size (c->commit.jobs, 0);
+}
+
+static void
+settle (struct hk_coord *c)
+{
+  for (guint i = 0; i < c->commit.jobs->len; i++)
+    {
+      struct hk_engine_job *job = c->commit.jobs->pdata[i];
+
+      job->committed = job->sent;
+      job->shown = job->sent_state;
+      job->stored_spec = job->sent_live;
+      coord_waiters_fire (job);
+    }
+  g_ptr_array_set_size (c->commit.jobs, 0);
+  for (guint i = 0; i < c->commit.forgotten->len; i++)
+    {
+      struct hk_engine_job *job
+          = hk_engine_find (&c->engine, c->commit.forgotten->pdata[i]);
+
+      if (job && !job->dirty && job->sent == job->committed)
+        hk_engine_forget (job);
+    }
+  g_ptr_array_set_size (c->commit.forgotten, 0);
+}
+
+static void
+on_retry (void *user)
+{
+  coord_commit_next (user);
+}
+
+static void
+failed (struct hk_coord *c, const struct hk_error *err, int64_t now)
+{
+  struct coord_commit *k = &c->commit;
+  int64_t pause = RETRY_MIN_MS << MIN (k->failures, 4);
+
+  k->failures++;
+  if (!k->failing_since_ms)
+    {
+      k->failing_since_ms = now;
+      hk_log (HK_LOG_WARN, "coord", err->peer, NULL,
+              "event=store_lost step=%s cause=\"%s\" dirty=%u", err->step,
+              err->text, c->engine.n_dirty);
+    }
+  put_back (c);
+  hk_timer_set (&k->retry, MIN (pause, RETRY_MAX_MS), on_retry, c);
+}
+
+/* Another transaction moved the fence: one of ours whose answer was lost, or
+   a successor's. */
+static void
+fence_moved (struct hk_coord *c, const struct hk_store_result *result)
+{
+  g_autoptr (json_object) obj = NULL;
+  struct hk_error err;
+
+  for (size_t i = 0; i < result->n_kvs; i++)
+    if (strcmp (result->kvs[i].key, HK_KEY_FENCE) == 0
+        && hk_json_parse (&obj, result->kvs[i].value, result->kvs[i].len,
+                          HK_KEY_FENCE, &err)
+               == HK_OK
+        && (uint64_t)hk_json_int (obj, "term") == c->term)
+      {
+        hk_log (HK_LOG_INFO, "coord", NULL, NULL,
+                "event=commit_found seq=%" G_GINT64_FORMAT
+                " revision=%" G_GINT64_FORMAT,
+                hk_json_int (obj, "seq"), result->kvs[i].mod_revision);
+        c->commit.fence_rev = result->kvs[i].mod_revision;
+        put_back (c);
+        coord_commit_next (c);
+        return;
+      }
+  coord_step_down (c, "the fence is another's");
+}
+
+static void
+on_commit (int rc, const struct hk_store_result *results,
+           const struct hk_error *err, void *user)
+{
+  struct attempt *a = user;
+  struct hk_coord *c = a->c;
+  struct coord_commit *k = &c->commit;
+  gboolean current
+      = c->state == COORD_LEADING && a->term == c->term && a->seq == k->seq;
+  int64_t now = hk_clock_ms ();
+
+  g_free (a);
+  if (!current)
+    return;
+  k->in_flight = FALSE;
+  if (rc < 0)
+    {
+      failed (c, err, now);
+      return;
+    }
+  if (!results->succeeded)
+    {
+      fence_moved (c, results);
+      return;
+    }
+  hk_histogram_add (hk_histogram_get ("hyssopkeel_commit_seconds", ""),
+                    (now - k->sent_ms) * 1000);
+  if (k->failing_since_ms)
+    hk_log (HK_LOG_INFO, "coord", NULL, NULL,
+            "event=store_regained after_ms=%" G_GINT64_FORMAT,
+            now - k->failing_since_ms);
+  k->failing_since_ms = 0;
+  k->failures = 0;
+  k->fence_rev = results->revision;
+  k->confirmed_ms = k->sent_ms;
+  settle (c);
+  coord_links_answer (c);
+  coord_kick (c);
+}
+
+void
+coord_commit_next (struct hk_coord *c)
+{
+  struct coord_commit *k = &c->commit;
+  g_autoptr (GPtrArray) texts = NULL;
+  struct hk_store_txn txn = { .n_compares = 1 };
+  struct build b = { .txn = &txn };
+  struct attempt *a;
+  int64_t now = hk_clock_ms ();
+
+  if (c->state != COORD_LEADING || k->in_flight || k->retry.iter)
+    return;
+  if (c->engine.n_dirty == 0 && now - k->confirmed_ms < IDLE_COMMIT_MS)
+    return;
+  texts = b.texts = g_ptr_array_new_with_free_func (g_free);
+  k->seq++;
+  txn.compares[0] = (struct hk_store_compare){ HK_KEY_FENCE, k->fence_rev };
+  add (&b, HK_STORE_PUT, g_strdup (HK_KEY_FENCE),
+       g_strdup_printf ("{\"term\":%" G_GUINT64_FORMAT
+                        ",\"seq\":%" G_GUINT64_FORMAT "}",
+                        c->term, k->seq),
+       0);
+  /* Read when the compare fails, by stores that do not tell by themselves. */
+  txn.otherwise[txn.n_otherwise++]
+      = (struct hk_store_op){ HK_STORE_GET, HK_KEY_FENCE, NULL, 0, 0 };
+  b.rows = 0;
+  take_dirty (c, &b);
+  a = g_new0 (struct attempt, 1);
+  a->c = c;
+  a->term = c->term;
+  a->seq = k->seq;
+  k->in_flight = TRUE;
+  k->sent_ms = now;
+  hk_metric_get ("hyssopkeel_commits_total", "")->value++;
+  hk_metric_get ("hyssopkeel_commit_rows_total", "")->value += (double)b.rows;
+  c->store->ops->batch (c->store, &txn, 1, on_commit, a);
+}
--- /dev/null
+++ b/src/coord/coord_sync.c
@@ -0,0 +1,492 @@
+/* Agents report, and take orders with the answers. Orders are levels, not
+   edges: each answer says what the report lacks, so a lost answer costs time
+   and nothing else. */
+#include "coord.h"
+
+/* An answer without news is held this long, well inside a grant. */
+#define PARK_MS 300
+/* An order that the reports do not show yet is repeated after this time. */
+#define REPEAT_MS 400
+/* A run that reports lack for this long is asked about. */
+#define MISSING_MS 2000
+
+static void
+end_clear (gpointer data)
+{
+  struct coord_end *end = data;
+
+  g_free (end->job);
+}
+
+static void
+stray_clear (gpointer data)
+{
+  hk_run_id *id = data;
+
+  g_free (id->task.job);
+}
+
+static struct coord_link *
+link_of (struct hk_coord *c, struct hk_instance *in)
+{
+  struct coord_link *l = in->link;
+
+  if (l)
+    return l;
+  l = g_new0 (struct coord_link, 1);
+  l->c = c;
+  l->in = in;
+  l->ends = g_array_new (FALSE, TRUE, sizeof (struct coord_end));
+  g_array_set_clear_func (l->ends, end_clear);
+  l->strays = g_array_new (FALSE, TRUE, sizeof (hk_run_id));
+  g_array_set_clear_func (l->strays, stray_clear);
+  in->link = l;
+  return l;
+}
+
+/* Answers */
+
+static void
+fill_start (hk_start_order *out, const struct hk_run *run)
+{
+  struct hk_engine_task *task = run->task;
+  const hk_step_spec *spec = task->step->spec;
+  hk_job_spec *job = &task->step->job->spec;
+
+  hk_engine_task_id (&out->task, task);
+  out->run = run->number;
+  out->cpu_milli = spec->cpu_milli;
+  out->memory_mb = spec->memory_mb;
+  out->accelerators = spec->accelerators;
+  out->flags = spec->flags;
+  out->target_ms = spec->target_ms;
+  out->checkpoint = task->checkpoint ? task->checkpoint : "";
+  out->payload.payload_len = job->payload.payload_len;
+  out->payload.payload_val = job->payload.payload_val;
+}
+
+static void
+collect_runs (struct coord_link *l, GArray *starts, GArray *stops, int64_t now)
+{
+  struct hk_instance *in = l->in;
+  struct hk_run *run;
+
+  LIST_FOREACH (run, &in->runs, link)
+  {
+    if (run->born_ms != in->born_ms
+        || (run->ordered_ms && now - run->ordered_ms < REPEAT_MS))
+      continue;
+    if (run->unwanted)
+      {
+        hk_run_id id = { .run = run->number };
+
+        hk_engine_task_id (&id.task, run->task);
+        g_array_append_val (stops, id);
+        run->ordered_ms = now;
+      }
+    else if ((!run->started_ms || run->undescribed)
+             && run->version <= run->task->step->job->committed
+             && !in->draining)
+      {
+        hk_start_order start = { 0 };
+
+        fill_start (&start, run);
+        g_array_append_val (starts, start);
+        run->undescribed = FALSE;
+        if (!run->ordered_ms)
+          hk_log (HK_LOG_INFO, "sync", in->name, start.task.job,
+                  "event=ordered step=%u index=%u run=%u "
+                  "waited_ms=%" G_GINT64_FORMAT " commit_ms=%" G_GINT64_FORMAT,
+                  start.task.step, start.task.index, start.run,
+                  run->placed_ms - run->task->ready_ms, now - run->placed_ms);
+        run->ordered_ms = now;
+      }
+  }
+}
+
+static void
+collect_noted (struct coord_link *l, GArray *noted, int64_t now)
+{
+  for (guint i = 0; i < l->ends->len; i++)
+    {
+      struct coord_end *end = &g_array_index (l->ends, struct coord_end, i);
+      const struct hk_engine_job *job
+          = hk_engine_find (&l->c->engine, end->job);
+      hk_run_id id
+          = { .task
+              = { .job = end->job, .step = end->step, .index = end->index },
+              .run = end->run };
+
+      if ((job && job->committed < end->version)
+          || (end->told_ms && now - end->told_ms < REPEAT_MS))
+        continue;
+      end->told_ms = now;
+      g_array_append_val (noted, id);
+    }
+}
+
+/* Sends the parked answer if there is news, or in any case. */
+static void
+answer (struct coord_link *l, gboolean anyway)
+{
+  struct hk_coord *c = l->c;
+  g_autoptr (GArray) starts
+      = g_array_new (FALSE, TRUE, sizeof (hk_start_order));
+  g_autoptr (GArray) stops = g_array_new (FALSE, TRUE, sizeof (hk_run_id));
+  g_autoptr (GArray) noted = g_array_new (FALSE, TRUE, sizeof (hk_run_id));
+  struct hk_rpc_request *req = l->parked;
+  hk_sync_reply reply = { .leading = TRUE, .term = c->term };
+  int64_t now = hk_clock_ms ();
+  int64_t until;
+
+  if (!req)
+    return;
+  collect_runs (l, starts, stops, now);
+  if (now - l->last_stop_ms >= REPEAT_MS && l->strays->len > 0)
+    {
+      g_array_append_vals (stops, l->strays->data, l->strays->len);
+      l->last_stop_ms = now;
+    }
+  collect_noted (l, noted, now);
+  if (!anyway && starts->len == 0 && stops->len == 0 && noted->len == 0)
+    return;
+  until
+      = hk_authority_grant_until (&c->authority, now, c->commit.confirmed_ms);
+  if (until > l->received_ms)
+    {
+      reply.grant_ms = (u_int)(until - l->received_ms);
+      l->in->granted_until_ms = MAX (l->in->granted_until_ms, until);
+    }
+  reply.starts.starts_len = starts->len;
+  reply.starts.starts_val = (hk_start_order *)starts->data;
+  reply.stops.stops_len = stops->len;
+  reply.stops.stops_val = (hk_run_id *)stops->data;
+  reply.noted.noted_len = noted->len;
+  reply.noted.noted_val = (hk_run_id *)noted->data;
+  l->parked = NULL;
+  hk_timer_clear (&l->wait);
+  hk_rpc_reply (req, &reply);
+}
+
+static void
+on_park_over (void *user)
+{
+  answer (user, TRUE);
+}
+
+void
+coord_links_answer (struct hk_coord *c)
+{
+  struct hk_instance *in;
+
+  TAILQ_FOREACH (in, &c->engine.instance_list, next)
+  if (in->link)
+    answer (in->link, FALSE);
+}
+
+void
+coord_links_drop (struct hk_coord *c)
+{
+  struct hk_instance *in;
+
+  TAILQ_FOREACH (in, &c->engine.instance_list, next)
+  {
+    struct coord_link *l = in->link;
+
+    if (!l)
+      continue;
+    if (l->parked)
+      {
+        hk_sync_reply reply = { .term = c->term };
+
+        hk_rpc_reply (l->parked, &reply);
+      }
+    hk_timer_clear (&l->wait);
+    g_array_unref (l->ends);
+    g_array_unref (l->strays);
+    g_free (l);
+    in->link = NULL;
+  }
+}
+
+/* Reports */
+
+static void
+lose_runs (struct hk_coord *c, struct hk_instance *in, int64_t born_before,
+           const char *why, int64_t now)
+{
+  struct hk_run *run;
+  struct hk_run *next;
+  unsigned lost = 0;
+
+  for (run = LIST_FIRST (&in->runs); run; run = next)
+    {
+      next = LIST_NEXT (run, link);
+      if (run->born_ms >= born_before)
+        continue;
+      lost++;
+      hk_engine_end (run, HK_END_LOST, NULL, now, coord_wall_ms ());
+    }
+  if (lost > 0)
+    hk_log (HK_LOG_WARN, "sync", in->name, NULL,
+            "event=runs_lost why=\"%s\" runs=%u heard_ms_ago=%" G_GINT64_FORMAT
+            " born=%" G_GINT64_FORMAT,
+            why, lost, in->heard_ms ? now - in->heard_ms : -1, in->born_ms);
+  if (lost > 0)
+    coord_kick (c);
+}
+
+static char *
+copy_text (char *old, const char *text)
+{
+  if (old && text && strcmp (old, text) == 0)
+    return old;
+  g_free (old);
+  return g_strdup (text);
+}
+
+static void
+describe (struct hk_instance *in, const hk_sync_args *args, int64_t now)
+{
+  if (in->draining != (gboolean)args->draining)
+    hk_log (HK_LOG_INFO, "sync", in->name, NULL,
+            "event=instance_%s left_ms=%u", args->draining ? "drains" : "back",
+            args->drain_left_ms);
+  in->draining = args->draining;
+  in->leaving = args->leaving;
+  in->drain_until_ms = now + args->drain_left_ms;
+  if (!args->described)
+    return;
+  if (!in->described)
+    hk_log (HK_LOG_INFO, "sync", in->name, NULL,
+            "event=instance_described pool=%s cpu=%u memory_mb=%u "
+            "born=%" G_GINT64_FORMAT,
+            args->pool, args->cpu_milli, args->memory_mb, in->born_ms);
+  in->described = TRUE;
+  in->domain = copy_text (in->domain, args->domain);
+  in->pool = copy_text (in->pool, args->pool);
+  in->cpu_milli = args->cpu_milli;
+  in->memory_mb = args->memory_mb;
+  in->accelerators = args->accelerators;
+  if (!in->labels || g_strv_length (in->labels) != args->labels.labels_len)
+    {
+      GPtrArray *list = g_ptr_array_new ();
+
+      for (u_int i = 0; i < args->labels.labels_len; i++)
+        g_ptr_array_add (list, g_strdup (args->labels.labels_val[i].text));
+      g_ptr_array_add (list, NULL);
+      g_strfreev (in->labels);
+      in->labels = (char **)g_ptr_array_free (list, FALSE);
+    }
+}
+
+static void
+add_stray (struct coord_link *l, const hk_task_id *task, unsigned run)
+{
+  hk_run_id id = { .task = *task, .run = run };
+
+  id.task.job = g_strdup (task->job);
+  g_array_append_val (l->strays, id);
+}
+
+static void
+take_run (struct coord_link *l, const hk_run_report *r, int64_t now)
+{
+  struct hk_engine_task *task = hk_engine_task (&l->c->engine, &r->task);
+  struct hk_run *run = task ? hk_engine_find_run (task, r->run) : NULL;
+
+  if (!run || run->instance != l->in)
+    {
+      add_stray (l, &r->task, r->run);
+      return;
+    }
+  if (!run->started_ms && r->started)
+    {
+      run->started_ms = now;
+      task->step->job->started = TRUE;
+    }
+  if (!run->ordered_ms)
+    run->ordered_ms = now;
+  /* An agent that restarted knows its runs by name only. */
+  if (!r->known)
+    {
+      run->undescribed = TRUE;
+      run->ordered_ms = 0;
+    }
+  run->reported_ms = now;
+  run->percent = r->percent;
+  run->figure = r->figure;
+  run->pace = r->pace;
+  if (r->checkpoint && *r->checkpoint
+      && (!task->checkpoint || strcmp (task->checkpoint, r->checkpoint) != 0)
+      && !run->unwanted)
+    {
+      g_free (task->checkpoint);
+      task->checkpoint = g_strdup (r->checkpoint);
+    }
+}
+
+/* Finds the version at which an end that was reported before is stored. */
+static uint64_t
+known_version (const GArray *ends, const hk_run_end *e, int64_t *told_ms)
+{
+  for (guint i = 0; i < ends->len; i++)
+    {
+      const struct coord_end *end = &g_array_index (ends, struct coord_end, i);
+
+      if (end->run == e->run && end->step == e->task.step
+          && end->index == e->task.index
+          && strcmp (end->job, e->task.job) == 0)
+        {
+          *told_ms = end->told_ms;
+          return end->version;
+        }
+    }
+  return 0;
+}
+
+static void
+take_end (struct coord_link *l, const GArray *before, const hk_run_end *e,
+          int64_t now)
+{
+  struct hk_engine_task *task = hk_engine_task (&l->c->engine, &e->task);
+  struct hk_run *run = task ? hk_engine_find_run (task, e->run) : NULL;
+  struct coord_end end
+      = { .step = e->task.step, .index = e->task.index, .run = e->run };
+
+  if (run && run->instance == l->in)
+    {
+      hk_log (HK_LOG_INFO, "sync", l->in->name, e->task.job,
+              "event=ended step=%u index=%u run=%u how=%d "
+              "ran_ms=%" G_GINT64_FORMAT " unwanted=%d failures=%u",
+              end.step, end.index, end.run, e->how,
+              run->started_ms ? now - run->started_ms : 0, run->unwanted,
+              task->failures);
+      coord_learn (l->c, run, e->how, now);
+      hk_engine_end (run, e->how, e->checkpoint, now, coord_wall_ms ());
+      end.version = task->step->job->version;
+    }
+  else
+    {
+      end.version = known_version (before, e, &end.told_ms);
+      if (end.version == 0 && task)
+        end.version = task->step->job->version;
+    }
+  end.job = g_strdup (e->task.job);
+  g_array_append_val (l->ends, end);
+}
+
+static void
+take_report (struct coord_link *l, const hk_sync_args *args, int64_t now)
+{
+  g_autoptr (GArray) before = l->ends;
+
+  l->ends = g_array_new (FALSE, TRUE, sizeof (struct coord_end));
+  g_array_set_clear_func (l->ends, end_clear);
+  g_array_set_size (l->strays, 0);
+  for (u_int i = 0; i < args->ends.ends_len; i++)
+    take_end (l, before, &args->ends.ends_val[i], now);
+  for (u_int i = 0; i < args->runs.runs_len; i++)
+    take_run (l, &args->runs.runs_val[i], now);
+}
+
+/* An agent and its endpoint that both know nothing of a run have lost it; the
+   order for it is repeated and settles what became of it. */
+static void
+reorder_missing (struct hk_instance *in, int64_t now)
+{
+  struct hk_run *run;
+
+  LIST_FOREACH (run, &in->runs, link)
+  if (run->started_ms && run->born_ms == in->born_ms
+      && now - run->reported_ms > MISSING_MS)
+    {
+      run->started_ms = 0;
+      run->ordered_ms = 0;
+    }
+}
+
+/* A run that was placed here and never shown to anyone needs no stop. */
+static void
+drop_unrevealed (struct hk_coord *c, struct hk_instance *in, int64_t now)
+{
+  struct hk_run *run;
+  struct hk_run *next;
+
+  for (run = LIST_FIRST (&in->runs); run; run = next)
+    {
+      next = LIST_NEXT (run, link);
+      /* Nothing may begin on an instance that drains. */
+      if (in->draining && !run->started_ms)
+        run->unwanted = TRUE;
+      if (run->unwanted && !run->inherited && !run->ordered_ms)
+        hk_engine_end (run, HK_END_REFUSED, NULL, now, coord_wall_ms ());
+    }
+  (void)c;
+}
+
+void
+coord_on_sync (struct hk_rpc_request *req, void *data, void *user)
+{
+  struct hk_coord *c = user;
+  const hk_sync_args *args = data;
+  hk_sync_reply no = { .term = c->term };
+  struct hk_instance *in;
+  struct coord_link *l;
+  int64_t now = hk_clock_ms ();
+
+  if (c->state != COORD_LEADING || args->term > c->term)
+    {
+      hk_rpc_reply (req, &no);
+      return;
+    }
+  in = hk_engine_instance (&c->engine, args->agent);
+  l = link_of (c, in);
+  if (args->born_ms < in->born_ms)
+    {
+      /* A message of an earlier lifetime that arrives late. */
+      hk_rpc_reply (req, &no);
+      return;
+    }
+  answer (l, TRUE);
+  l->parked = req;
+  l->received_ms = now;
+  if (args->born_ms > in->born_ms)
+    {
+      in->born_ms = args->born_ms;
+      in->described = FALSE;
+      in->failure_score = 0;
+      in->slowness = 1.0;
+      in->suspect_until_ms = 0;
+      lose_runs (c, in, in->born_ms, "the endpoint has a new lifetime", now);
+    }
+  if (!in->heard_ms)
+    hk_log (HK_LOG_INFO, "sync", in->name, NULL, "event=agent_seen runs=%u",
+            args->runs.runs_len);
+  in->heard_ms = now;
+  in->granted_until_ms
+      = MAX (in->granted_until_ms,
+             now + (int64_t)args->hold_left_ms - c->authority.hold_ms);
+  describe (in, args, now);
+  take_report (l, args, now);
+  reorder_missing (in, now);
+  drop_unrevealed (c, in, now);
+  answer (l, FALSE);
+  if (l->parked)
+    hk_timer_set (&l->wait, PARK_MS, on_park_over, l);
+  coord_kick (c);
+}
+
+void
+coord_links_check (struct hk_coord *c, int64_t now)
+{
+  struct hk_instance *in;
+
+  TAILQ_FOREACH (in, &c->engine.instance_list, next)
+  {
+    if (LIST_EMPTY (&in->runs)
+        || now <= hk_authority_gone_at (&c->authority, in->granted_until_ms))
+      continue;
+    lose_runs (c, in, G_MAXINT64, "its leases are over", now);
+  }
+}
--- /dev/null
+++ b/src/engine/engine.c
@@ -0,0 +1,435 @@
+/* State machine of jobs, tasks and runs. Without I/O, so that every order of
+   events can be replayed in tests. */
+#include "hyssopkeel/engine.h"
+
+#include <string.h>
+
+#include "engine_priv.h"
+
+void
+hk_engine_init (struct hk_engine *e)
+{
+  memset (e, 0, sizeof *e);
+  e->jobs = g_hash_table_new (g_str_hash, g_str_equal);
+  e->instances = g_hash_table_new (g_str_hash, g_str_equal);
+  TAILQ_INIT (&e->active);
+  TAILQ_INIT (&e->ended);
+  TAILQ_INIT (&e->dirty);
+  TAILQ_INIT (&e->instance_list);
+}
+
+static const hk_step_spec *
+spec_of (const struct hk_run *run)
+{
+  return run->task->step->spec;
+}
+
+static void
+book (struct hk_run *run, int sign)
+{
+  struct hk_instance *in = run->instance;
+  const hk_step_spec *spec = spec_of (run);
+  unsigned cpu = (unsigned)sign * spec->cpu_milli;
+
+  if (spec->flags & HK_STEP_FILLS)
+    in->fill_cpu_milli += cpu;
+  else
+    in->used_cpu_milli += cpu;
+  in->used_memory_mb += (unsigned)sign * spec->memory_mb;
+  in->used_accelerators += (unsigned)sign * spec->accelerators;
+  in->n_runs += (unsigned)sign;
+}
+
+struct hk_run *
+engine_run_new (struct hk_engine_task *task, struct hk_instance *in,
+                unsigned number)
+{
+  struct hk_run *run = g_new0 (struct hk_run, 1);
+
+  for (int i = 0; i < HK_RUNS_PER_TASK; i++)
+    if (!task->runs[i])
+      {
+        task->runs[i] = run;
+        break;
+      }
+  run->task = task;
+  run->instance = in;
+  run->number = number;
+  run->pace = 100;
+  LIST_INSERT_HEAD (&in->runs, run, link);
+  task->step->job->n_runs++;
+  book (run, 1);
+  return run;
+}
+
+static void
+run_free (struct hk_run *run)
+{
+  struct hk_engine_task *task = run->task;
+
+  book (run, -1);
+  for (int i = 0; i < HK_RUNS_PER_TASK; i++)
+    if (task->runs[i] == run)
+      task->runs[i] = NULL;
+  LIST_REMOVE (run, link);
+  task->step->job->n_runs--;
+  g_free (run);
+}
+
+struct hk_engine_job *
+engine_job_new (struct hk_engine *e, hk_job_spec *spec)
+{
+  struct hk_engine_job *job = g_new0 (struct hk_engine_job, 1);
+
+  job->engine = e;
+  job->spec = *spec;
+  memset (spec, 0, sizeof *spec);
+  job->steps = g_new0 (struct hk_engine_step, job->spec.steps.steps_len);
+  for (unsigned i = 0; i < job->spec.steps.steps_len; i++)
+    {
+      struct hk_engine_step *step = &job->steps[i];
+
+      step->job = job;
+      step->index = i;
+      step->spec = &job->spec.steps.steps_val[i];
+      step->tasks = g_new0 (struct hk_engine_task, step->spec->count);
+      step->waiting = step->spec->count;
+      job->n_tasks += step->spec->count;
+      for (unsigned t = 0; t < step->spec->count; t++)
+        {
+          step->tasks[t].step = step;
+          step->tasks[t].index = t;
+        }
+    }
+  g_hash_table_insert (e->jobs, job->spec.id, job);
+  return job;
+}
+
+static void
+job_free (struct hk_engine_job *job)
+{
+  g_hash_table_remove (job->engine->jobs, job->spec.id);
+  for (unsigned i = 0; i < job->spec.steps.steps_len; i++)
+    {
+      struct hk_engine_step *step = &job->steps[i];
+
+      for (unsigned t = 0; t < step->spec->count; t++)
+        {
+          for (int r = 0; r < HK_RUNS_PER_TASK; r++)
+            if (step->tasks[t].runs[r])
+              run_free (step->tasks[t].runs[r]);
+          g_free (step->tasks[t].checkpoint);
+        }
+      g_free (step->tasks);
+    }
+  g_free (job->steps);
+  xdr_free ((xdrproc_t)xdr_hk_job_spec, (char *)&job->spec);
+  g_free (job);
+}
+
+static void
+instance_free (struct hk_instance *in)
+{
+  g_free (in->name);
+  g_free (in->domain);
+  g_free (in->pool);
+  g_free (in->rack);
+  g_strfreev (in->labels);
+  g_free (in);
+}
+
+void
+hk_engine_finish (struct hk_engine *e)
+{
+  struct hk_engine_job *job;
+  struct hk_instance *in;
+
+  if (!e->jobs)
+    return;
+  while ((job = TAILQ_FIRST (&e->active)))
+    {
+      TAILQ_REMOVE (&e->active, job, link);
+      job_free (job);
+    }
+  while ((job = TAILQ_FIRST (&e->ended)))
+    {
+      TAILQ_REMOVE (&e->ended, job, link);
+      job_free (job);
+    }
+  while ((in = TAILQ_FIRST (&e->instance_list)))
+    {
+      TAILQ_REMOVE (&e->instance_list, in, next);
+      instance_free (in);
+    }
+  g_clear_pointer (&e->jobs, g_hash_table_unref);
+  g_clear_pointer (&e->instances, g_hash_table_unref);
+}
+
+void
+hk_engine_touch (struct hk_engine_job *job)
+{
+  struct hk_engine *e = job->engine;
+
+  job->version++;
+  if (job->dirty)
+    return;
+  job->dirty = TRUE;
+  e->n_dirty++;
+  TAILQ_INSERT_TAIL (&e->dirty, job, dirty_link);
+}
+
+struct hk_engine_job *
+hk_engine_submit (struct hk_engine *e, const hk_job_spec *spec, int64_t now_ms,
+                  int64_t wall_ms)
+{
+  hk_job_spec copy = { 0 };
+  struct hk_engine_job *job;
+
+  engine_copy_spec (&copy, spec);
+  job = engine_job_new (e, &copy);
+  job->accepted_ms = now_ms;
+  job->accepted_wall_ms = wall_ms;
+  for (unsigned i = 0; i < job->spec.steps.steps_len; i++)
+    for (unsigned t = 0; t < job->steps[i].spec->count; t++)
+      job->steps[i].tasks[t].ready_ms = now_ms;
+  TAILQ_INSERT_TAIL (&e->active, job, link);
+  hk_engine_touch (job);
+  return job;
+}
+
+struct hk_engine_job *
+hk_engine_find (struct hk_engine *e, const char *id)
+{
+  return g_hash_table_lookup (e->jobs, id);
+}
+
+struct hk_engine_task *
+hk_engine_task (struct hk_engine *e, const hk_task_id *id)
+{
+  struct hk_engine_job *job = hk_engine_find (e, id->job);
+
+  if (!job || id->occurrence != 0 || id->step >= job->spec.steps.steps_len
+      || id->index >= job->steps[id->step].spec->count)
+    return NULL;
+  return &job->steps[id->step].tasks[id->index];
+}
+
+struct hk_run *
+hk_engine_find_run (struct hk_engine_task *task, unsigned number)
+{
+  for (int i = 0; i < HK_RUNS_PER_TASK; i++)
+    if (task->runs[i] && task->runs[i]->number == number)
+      return task->runs[i];
+  return NULL;
+}
+
+void
+hk_engine_task_id (hk_task_id *out, const struct hk_engine_task *task)
+{
+  out->job = task->step->job->spec.id;
+  out->occurrence = 0;
+  out->step = task->step->index;
+  out->index = task->index;
+}
+
+gboolean
+hk_engine_wants (const struct hk_engine_job *job)
+{
+  return job->state == HK_JOB_STATE_QUEUED
+         || job->state == HK_JOB_STATE_RUNNING;
+}
+
+gboolean
+hk_engine_step_ready (const struct hk_engine_step *step)
+{
+  const hk_step_spec *spec = step->spec;
+
+  for (unsigned i = 0; i < spec->after.after_len; i++)
+    {
+      const struct hk_engine_step *before
+          = &step->job->steps[spec->after.after_val[i]];
+
+      if (before->done < before->spec->count)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/* Runs keep their room until their end is seen. */
+static void
+unwant_all (struct hk_engine_job *job)
+{
+  for (unsigned i = 0; i < job->spec.steps.steps_len; i++)
+    for (unsigned t = 0; t < job->steps[i].spec->count; t++)
+      for (int r = 0; r < HK_RUNS_PER_TASK; r++)
+        if (job->steps[i].tasks[t].runs[r])
+          job->steps[i].tasks[t].runs[r]->unwanted = TRUE;
+}
+
+static void
+job_end (struct hk_engine_job *job, enum hk_job_state state, int64_t now_ms,
+         int64_t wall_ms)
+{
+  struct hk_engine *e = job->engine;
+
+  if (!hk_engine_wants (job))
+    return;
+  job->state = state;
+  job->ended_ms = now_ms;
+  job->ended_wall_ms = wall_ms;
+  unwant_all (job);
+  TAILQ_REMOVE (&e->active, job, link);
+  TAILQ_INSERT_TAIL (&e->ended, job, link);
+  hk_engine_touch (job);
+}
+
+void
+hk_engine_cancel (struct hk_engine_job *job, int64_t now_ms, int64_t wall_ms)
+{
+  job_end (job, HK_JOB_STATE_CANCELLED, now_ms, wall_ms);
+}
+
+struct hk_run *
+hk_engine_place (struct hk_engine_task *task, struct hk_instance *in,
+                 int64_t now_ms)
+{
+  struct hk_engine_job *job = task->step->job;
+  struct hk_run *run = engine_run_new (task, in, ++task->last_run);
+
+  run->placed_ms = now_ms;
+  run->born_ms = in->born_ms;
+  if (task->state == HK_TASK_WAITING)
+    {
+      task->state = HK_TASK_PLACED;
+      task->step->waiting--;
+    }
+  hk_engine_touch (job);
+  run->version = job->version;
+  return run;
+}
+
+static gboolean
+all_done (const struct hk_engine_job *job)
+{
+  for (unsigned i = 0; i < job->spec.steps.steps_len; i++)
+    if (job->steps[i].done < job->steps[i].spec->count)
+      return FALSE;
+  return TRUE;
+}
+
+static gboolean
+has_live_run (const struct hk_engine_task *task)
+{
+  for (int i = 0; i < HK_RUNS_PER_TASK; i++)
+    if (task->runs[i] && !task->runs[i]->unwanted)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+task_done (struct hk_engine_task *task, int64_t now_ms, int64_t wall_ms)
+{
+  struct hk_engine_step *step = task->step;
+
+  if (task->state == HK_TASK_WAITING)
+    step->waiting--;
+  task->state = HK_TASK_DONE;
+  step->done++;
+  g_clear_pointer (&task->checkpoint, g_free);
+  for (int i = 0; i < HK_RUNS_PER_TASK; i++)
+    if (task->runs[i])
+      task->runs[i]->unwanted = TRUE;
+  if (all_done (step->job))
+    job_end (step->job, HK_JOB_STATE_COMPLETED, now_ms, wall_ms);
+  else
+    for (unsigned i = step->index + 1; i < step->job->spec.steps.steps_len;
+         i++)
+      for (unsigned t = 0; t < step->job->steps[i].spec->count; t++)
+        if (step->job->steps[i].tasks[t].state == HK_TASK_WAITING)
+          step->job->steps[i].tasks[t].ready_ms = now_ms;
+}
+
+static void
+task_failed (struct hk_engine_task *task, int64_t now_ms, int64_t wall_ms)
+{
+  struct hk_engine_job *job = task->step->job;
+
+  task->failures++;
+  if (task->failures < job->spec.max_attempts)
+    return;
+  task->state = HK_TASK_FAILED;
+  job_end (job, HK_JOB_STATE_FAILED, now_ms, wall_ms);
+}
+
+/* Ends that a broken instance or an order of ours caused cost no attempt. */
+void
+hk_engine_end (struct hk_run *run, hk_end_how how, const char *checkpoint,
+               int64_t now_ms, int64_t wall_ms)
+{
+  struct hk_engine_task *task = run->task;
+  struct hk_engine_job *job = task->step->job;
+  gboolean lasting = (task->step->spec->flags & HK_STEP_LASTS) != 0;
+
+  run_free (run);
+  if (checkpoint && *checkpoint && task->state != HK_TASK_DONE)
+    {
+      g_free (task->checkpoint);
+      task->checkpoint = g_strdup (checkpoint);
+    }
+  if (hk_engine_wants (job) && task->state != HK_TASK_DONE)
+    {
+      if (how == HK_END_DONE && !lasting)
+        task_done (task, now_ms, wall_ms);
+      else if (how == HK_END_FAILED && !lasting)
+        task_failed (task, now_ms, wall_ms);
+      if (task->state == HK_TASK_PLACED && !has_live_run (task))
+        {
+          task->state = HK_TASK_WAITING;
+          task->step->waiting++;
+          task->ready_ms = now_ms;
+        }
+    }
+  hk_engine_touch (job);
+}
+
+void
+hk_engine_forget (struct hk_engine_job *job)
+{
+  struct hk_engine *e = job->engine;
+
+  if (hk_engine_wants (job))
+    TAILQ_REMOVE (&e->active, job, link);
+  else
+    TAILQ_REMOVE (&e->ended, job, link);
+  if (job->dirty)
+    {
+      TAILQ_REMOVE (&e->dirty, job, dirty_link);
+      e->n_dirty--;
+    }
+  job_free (job);
+}
+
+struct hk_instance *
+hk_engine_instance (struct hk_engine *e, const char *name)
+{
+  struct hk_instance *in = g_hash_table_lookup (e->instances, name);
+
+  if (in)
+    return in;
+  in = g_new0 (struct hk_instance, 1);
+  in->name = g_strdup (name);
+  in->slowness = 1.0;
+  LIST_INIT (&in->runs);
+  g_hash_table_insert (e->instances, in->name, in);
+  TAILQ_INSERT_TAIL (&e->instance_list, in, next);
+  return in;
+}
+
+void
+hk_engine_instance_drop (struct hk_engine *e, struct hk_instance *in)
+{
+  g_assert (LIST_EMPTY (&in->runs));
+  g_hash_table_remove (e->instances, in->name);
+  TAILQ_REMOVE (&e->instance_list, in, next);
+  instance_free (in);
+}
--- /dev/null
+++ b/src/engine/engine_check.c
@@ -0,0 +1,42 @@
+/* Rules that a submission must keep, checked before anything is stored. */
+#include "hyssopkeel/engine.h"
+
+/* A job of more tasks would not fit one record of the store. */
+#define TASKS_MAX 20000
+
+#define FAIL(...)                                                             \
+  hk_error_set (err, HK_ERR_INVALID, "job.check", spec->id, __VA_ARGS__)
+
+static int
+check_step (const hk_job_spec *spec, unsigned i, struct hk_error *err)
+{
+  const hk_step_spec *step = &spec->steps.steps_val[i];
+
+  if (step->count == 0)
+    return FAIL ("step %u: count must be at least 1", i);
+  if (step->cpu_milli == 0 && step->memory_mb == 0 && step->accelerators == 0)
+    return FAIL ("step %u: asks for no processor, memory or accelerator", i);
+  for (unsigned k = 0; k < step->after.after_len; k++)
+    if (step->after.after_val[k] >= i)
+      return FAIL ("step %u: may only come after earlier steps, not %u", i,
+                   step->after.after_val[k]);
+  return HK_OK;
+}
+
+int
+hk_engine_check (const hk_job_spec *spec, struct hk_error *err)
+{
+  uint64_t tasks = 0;
+  int rc = HK_OK;
+
+  if (spec->steps.steps_len == 0)
+    return FAIL ("a job needs at least one step");
+  for (unsigned i = 0; i < spec->steps.steps_len && rc == HK_OK; i++)
+    {
+      rc = check_step (spec, i, err);
+      tasks += spec->steps.steps_val[i].count;
+    }
+  if (rc == HK_OK && tasks > TASKS_MAX)
+    return FAIL ("a job may have at most %d tasks", TASKS_MAX);
+  return rc;
+}
--- /dev/null
+++ b/src/engine/engine_record.c
@@ -0,0 +1,232 @@
+/* Records of jobs in the store: submission and progress apart, since the
+   submission never changes and is by far the larger part. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "engine_priv.h"
+
+/* A place is "agent/birth time". */
+#define PLACE_SEPARATOR '/'
+
+static int
+encode (char **out, size_t *len, xdrproc_t proc, void *value)
+{
+  size_t size = xdr_sizeof (proc, value);
+  XDR xdr;
+
+  *out = g_malloc (size + 1);
+  xdrmem_create (&xdr, *out, (u_int)size, XDR_ENCODE);
+  if (!proc (&xdr, value))
+    {
+      g_clear_pointer (out, g_free);
+      return HK_ERR_TOO_BIG;
+    }
+  *len = xdr_getpos (&xdr);
+  return HK_OK;
+}
+
+static int
+decode (void *out, xdrproc_t proc, const char *data, size_t len)
+{
+  XDR xdr;
+
+  xdrmem_create (&xdr, (char *)data, (u_int)len, XDR_DECODE);
+  return proc (&xdr, out) ? HK_OK : HK_ERR_PROTOCOL;
+}
+
+void
+engine_copy_spec (hk_job_spec *out, const hk_job_spec *spec)
+{
+  g_autofree char *bytes = NULL;
+  size_t len = 0;
+
+  memset (out, 0, sizeof *out);
+  if (encode (&bytes, &len, (xdrproc_t)xdr_hk_job_spec, (void *)spec) == HK_OK)
+    decode (out, (xdrproc_t)xdr_hk_job_spec, bytes, len);
+}
+
+int
+hk_engine_encode_spec (char **out, size_t *len,
+                       const struct hk_engine_job *job)
+{
+  return encode (out, len, (xdrproc_t)xdr_hk_job_spec, (void *)&job->spec);
+}
+
+static unsigned
+place_index (GPtrArray *places, const struct hk_run *run)
+{
+  g_autofree char *text
+      = g_strdup_printf ("%s%c%" G_GINT64_FORMAT, run->instance->name,
+                         PLACE_SEPARATOR, run->born_ms);
+
+  for (guint i = 0; i < places->len; i++)
+    if (strcmp (places->pdata[i], text) == 0)
+      return i + 1;
+  g_ptr_array_add (places, g_steal_pointer (&text));
+  return places->len;
+}
+
+static void
+encode_task (hk_task_progress *out, const struct hk_engine_task *task,
+             GPtrArray *places)
+{
+  const struct hk_run *first = task->runs[0];
+  const struct hk_run *second = task->runs[1];
+
+  out->state = task->state;
+  out->failures = task->failures;
+  out->run = task->last_run;
+  out->checkpoint = task->checkpoint ? task->checkpoint : "";
+  if (!first)
+    {
+      first = second;
+      second = NULL;
+    }
+  if (first)
+    {
+      out->place = place_index (places, first);
+      out->run = first->number;
+    }
+  if (second)
+    {
+      out->spare_place = place_index (places, second);
+      out->spare_run = second->number;
+    }
+  else
+    out->spare_run = task->last_run;
+}
+
+int
+hk_engine_encode_progress (char **out, size_t *len,
+                           const struct hk_engine_job *job)
+{
+  g_autoptr (GPtrArray) places = g_ptr_array_new_with_free_func (g_free);
+  g_autofree hk_task_progress *tasks = NULL;
+  g_autofree hk_place_name *names = NULL;
+  hk_job_progress p = { .state = job->state,
+                        .accepted_ms = job->accepted_wall_ms,
+                        .ended_ms = job->ended_wall_ms,
+                        .queue = job->spec.queue };
+  unsigned n = 0;
+
+  /* The tasks of an ended job matter only while runs are left to stop. */
+  if (hk_engine_wants (job) || job->n_runs > 0)
+    {
+      tasks = g_new0 (hk_task_progress, job->n_tasks);
+      for (unsigned i = 0; i < job->spec.steps.steps_len; i++)
+        for (unsigned t = 0; t < job->steps[i].spec->count; t++)
+          encode_task (&tasks[n++], &job->steps[i].tasks[t], places);
+    }
+  names = g_new0 (hk_place_name, places->len);
+  for (guint i = 0; i < places->len; i++)
+    names[i].life = places->pdata[i];
+  p.places.places_len = places->len;
+  p.places.places_val = names;
+  p.tasks.tasks_len = n;
+  p.tasks.tasks_val = tasks;
+  return encode (out, len, (xdrproc_t)xdr_hk_job_progress, &p);
+}
+
+static void
+load_run (struct hk_engine_task *task, const hk_job_progress *p,
+          unsigned place, unsigned number, int64_t now_ms)
+{
+  g_auto (GStrv) parts = NULL;
+  struct hk_run *run;
+
+  if (place == 0 || place > p->places.places_len)
+    return;
+  parts = g_strsplit (p->places.places_val[place - 1].life, "/", 2);
+  run = engine_run_new (
+      task, hk_engine_instance (task->step->job->engine, parts[0]), number);
+  run->born_ms = parts[1] ? g_ascii_strtoll (parts[1], NULL, 10) : 0;
+  run->placed_ms = now_ms;
+  run->inherited = TRUE;
+}
+
+static void
+load_task (struct hk_engine_task *task, const hk_job_progress *p,
+           const hk_task_progress *in, int64_t now_ms)
+{
+  task->state = (enum hk_task_state)in->state;
+  task->failures = in->failures;
+  task->last_run = MAX (in->run, in->spare_run);
+  task->ready_ms = now_ms;
+  if (in->checkpoint && *in->checkpoint)
+    task->checkpoint = g_strdup (in->checkpoint);
+  if (task->state != HK_TASK_WAITING)
+    task->step->waiting--;
+  if (task->state == HK_TASK_DONE)
+    task->step->done++;
+  load_run (task, p, in->place, in->run, now_ms);
+  load_run (task, p, in->spare_place, in->spare_run, now_ms);
+  if (task->state != HK_TASK_PLACED)
+    for (int r = 0; r < HK_RUNS_PER_TASK; r++)
+      if (task->runs[r])
+        task->runs[r]->unwanted = TRUE;
+}
+
+static void
+load_tasks (struct hk_engine_job *job, const hk_job_progress *p,
+            int64_t now_ms)
+{
+  unsigned n = 0;
+
+  if (p->tasks.tasks_len != job->n_tasks)
+    return;
+  for (unsigned i = 0; i < job->spec.steps.steps_len; i++)
+    for (unsigned t = 0; t < job->steps[i].spec->count; t++)
+      {
+        struct hk_engine_task *task = &job->steps[i].tasks[t];
+
+        load_task (task, p, &p->tasks.tasks_val[n++], now_ms);
+        if (task->last_run > 0)
+          job->started = TRUE;
+        for (int r = 0; r < HK_RUNS_PER_TASK && !hk_engine_wants (job); r++)
+          if (task->runs[r])
+            task->runs[r]->unwanted = TRUE;
+      }
+}
+
+int
+hk_engine_load (struct hk_engine *e, const char *id, const char *spec,
+                size_t spec_len, const char *progress, size_t progress_len,
+                int64_t now_ms, int64_t wall_ms, struct hk_error *err)
+{
+  hk_job_spec text = { 0 };
+  hk_job_progress p = { 0 };
+  struct hk_engine_job *job = NULL;
+  int rc = decode (&p, (xdrproc_t)xdr_hk_job_progress, progress, progress_len);
+
+  if (rc == HK_OK && spec)
+    rc = decode (&text, (xdrproc_t)xdr_hk_job_spec, spec, spec_len);
+  if (rc < 0 || (!spec && p.state < HK_JOB_STATE_COMPLETED))
+    {
+      xdr_free ((xdrproc_t)xdr_hk_job_progress, (char *)&p);
+      xdr_free ((xdrproc_t)xdr_hk_job_spec, (char *)&text);
+      return hk_error_set (err, HK_ERR_PROTOCOL, "engine.load", id,
+                           "record of job %s does not parse", id);
+    }
+  if (!spec)
+    {
+      /* An ended job: only its name and state are kept. */
+      text.id = strdup (id);
+      text.queue = strdup (p.queue);
+      text.pool = strdup ("");
+    }
+  job = engine_job_new (e, &text);
+  job->state = job->shown = (enum hk_job_state)p.state;
+  job->version = job->committed = 1;
+  job->stored_spec = spec != NULL;
+  job->accepted_wall_ms = p.accepted_ms;
+  job->ended_wall_ms = p.ended_ms;
+  job->accepted_ms = now_ms - MAX (wall_ms - p.accepted_ms, 0);
+  job->ended_ms = now_ms - MAX (wall_ms - p.ended_ms, 0);
+  load_tasks (job, &p, now_ms);
+  if (hk_engine_wants (job))
+    TAILQ_INSERT_TAIL (&e->active, job, link);
+  else
+    TAILQ_INSERT_TAIL (&e->ended, job, link);
+  xdr_free ((xdrproc_t)xdr_hk_job_progress, (char *)&p);
+  return HK_OK;
+}
--- /dev/null
+++ b/src/rpc/hk_job.x
@@ -0,0 +1,207 @@
+/* Records of jobs in the store, and messages between entries and agents
+   about them; compiled by rpcgen. */
+
+const HK_JOB_NAME_MAX = 200;
+const HK_JOB_PAYLOAD_MAX = 1048576;
+const HK_JOB_STEPS_MAX = 256;
+const HK_JOB_TASKS_MAX = 65536;
+const HK_JOB_JOBS_MAX = 16;
+
+/* Flags of a step. */
+const HK_STEP_CHECKPOINTS = 1;
+const HK_STEP_GANG = 2;
+const HK_STEP_RACK_LOCAL = 4;
+const HK_STEP_SPECULATIVE = 8;
+const HK_STEP_LASTS = 16;
+const HK_STEP_FILLS = 32;
+
+struct hk_step_spec {
+  unsigned count;
+  unsigned cpu_milli;
+  unsigned memory_mb;
+  unsigned accelerators;
+  unsigned estimate_ms;
+  unsigned flags;
+  unsigned after<HK_JOB_STEPS_MAX>;
+  string label<HK_JOB_NAME_MAX>;
+  string rack<HK_JOB_NAME_MAX>;
+  string image<HK_JOB_NAME_MAX>;
+  unsigned per_instance_max;
+  unsigned target_ms;
+  unsigned max_unavailable;
+};
+
+struct hk_job_spec {
+  string id<HK_JOB_NAME_MAX>;
+  string queue<HK_JOB_NAME_MAX>;
+  string pool<HK_JOB_NAME_MAX>;
+  unsigned urgency;
+  unsigned max_attempts;
+  unsigned stretch_milli;
+  unsigned target_ms;
+  unsigned repeat;
+  hyper first_due_ms;
+  hyper interval_ms;
+  hk_step_spec steps<HK_JOB_STEPS_MAX>;
+  opaque payload<HK_JOB_PAYLOAD_MAX>;
+};
+
+struct hk_task_progress {
+  unsigned state;
+  unsigned run;
+  unsigned failures;
+  unsigned place;
+  unsigned spare_run;
+  unsigned spare_place;
+  string checkpoint<HK_JOB_NAME_MAX>;
+};
+
+struct hk_place_name {
+  string life<HK_JOB_NAME_MAX>;
+};
+
+struct hk_job_progress {
+  unsigned state;
+  hyper accepted_ms;
+  hyper ended_ms;
+  string queue<HK_JOB_NAME_MAX>;
+  hk_place_name places<HK_JOB_TASKS_MAX>;
+  hk_task_progress tasks<HK_JOB_TASKS_MAX>;
+};
+
+struct hk_task_id {
+  string job<HK_JOB_NAME_MAX>;
+  unsigned occurrence;
+  unsigned step;
+  unsigned index;
+};
+
+struct hk_run_report {
+  hk_task_id task;
+  unsigned run;
+  bool started;
+  bool known;
+  unsigned percent;
+  unsigned figure;
+  unsigned pace;
+  string checkpoint<HK_JOB_NAME_MAX>;
+};
+
+enum hk_end_how {
+  HK_END_DONE = 0,
+  HK_END_FAILED = 1,
+  HK_END_STOPPED = 2,
+  HK_END_LAPSED = 3,
+  HK_END_BROKEN = 4,
+  HK_END_ALONE = 5,
+  HK_END_REFUSED = 6,
+  HK_END_LOST = 7
+};
+
+struct hk_run_end {
+  hk_task_id task;
+  unsigned run;
+  hk_end_how how;
+  string checkpoint<HK_JOB_NAME_MAX>;
+};
+
+struct hk_label {
+  string text<HK_JOB_NAME_MAX>;
+};
+
+struct hk_sync_args {
+  string agent<HK_JOB_NAME_MAX>;
+  string domain<HK_JOB_NAME_MAX>;
+  string life<HK_JOB_NAME_MAX>;
+  hyper born_ms;
+  unsigned hyper term;
+  bool described;
+  bool draining;
+  bool leaving;
+  unsigned drain_left_ms;
+  unsigned hold_left_ms;
+  string pool<HK_JOB_NAME_MAX>;
+  hk_label labels<64>;
+  unsigned cpu_milli;
+  unsigned memory_mb;
+  unsigned accelerators;
+  hk_run_report runs<HK_JOB_TASKS_MAX>;
+  hk_run_end ends<HK_JOB_TASKS_MAX>;
+};
+
+struct hk_start_order {
+  hk_task_id task;
+  unsigned run;
+  unsigned cpu_milli;
+  unsigned memory_mb;
+  unsigned accelerators;
+  unsigned flags;
+  unsigned target_ms;
+  string checkpoint<HK_JOB_NAME_MAX>;
+  opaque payload<HK_JOB_PAYLOAD_MAX>;
+};
+
+struct hk_run_id {
+  hk_task_id task;
+  unsigned run;
+};
+
+struct hk_sync_reply {
+  bool leading;
+  unsigned hyper term;
+  unsigned grant_ms;
+  hk_start_order starts<HK_JOB_TASKS_MAX>;
+  hk_run_id stops<HK_JOB_TASKS_MAX>;
+  hk_run_id noted<HK_JOB_TASKS_MAX>;
+};
+
+enum hk_ask_kind {
+  HK_ASK_SUBMIT = 0,
+  HK_ASK_STATE = 1,
+  HK_ASK_CANCEL = 2,
+  HK_ASK_PENDING = 3
+};
+
+struct hk_ask_args {
+  hk_ask_kind kind;
+  string id<HK_JOB_NAME_MAX>;
+  string queue<HK_JOB_NAME_MAX>;
+  unsigned left_ms;
+  hk_job_spec job<1>;
+};
+
+enum hk_ask_outcome {
+  HK_ASK_DONE = 0,
+  HK_ASK_REFUSED = 1,
+  HK_ASK_UNKNOWN = 2,
+  HK_ASK_NOT_FOUND = 3,
+  HK_ASK_NOT_LEADING = 4
+};
+
+struct hk_ask_reply {
+  hk_ask_outcome outcome;
+  unsigned state;
+  unsigned pending;
+  unsigned retry_after_s;
+  string reason<HK_JOB_NAME_MAX>;
+};
+
+struct hk_ping_args {
+  string name<HK_JOB_NAME_MAX>;
+};
+
+struct hk_ping_reply {
+  bool leading;
+  bool resigning;
+  unsigned hyper term;
+  unsigned store_age_ms;
+};
+
+program HK_COORD_PROGRAM {
+  version HK_COORD_V1 {
+    void HK_COORD_NULL(void) = 0;
+    hk_sync_reply HK_COORD_SYNC(hk_sync_args) = 1;
+    hk_ask_reply HK_COORD_ASK(hk_ask_args) = 2;
+    hk_ping_reply HK_COORD_PING(hk_ping_args) = 3;
+  } = 1;
+} = 0x20004b43;
--- /dev/null
+++ b/src/runner/runner_hold.c
@@ -0,0 +1,352 @@
+/* The hold loop: extends leases while granted, and learns what runs and what
+   ended from the same calls. */
+#include "runner.h"
+
+/* A hold waits this long for an end; leases reach some ten times as far. */
+#define WAIT_MS 400
+/* Pause while an end is not noted: a hold would list it again at once. */
+#define NOTING_MS 15
+/* Pause between holds while nothing runs. */
+#define IDLE_MS 300
+/* Pause after a hold that failed. */
+#define RETRY_MS 100
+/* Ends that one answer can list. */
+#define ENDS_MAX 500
+/* Changes of pace smaller than this are not worth a call, percent. */
+#define PACE_STEP 3
+
+struct hold
+{
+  struct hk_runner *r;
+  unsigned generation;
+  int64_t sent_ms;
+  void (*last) (void *user);
+};
+
+static void hold (struct hk_runner *r, int64_t reach_ms, int64_t wait_ms,
+                  void (*last) (void *user));
+
+/* A new lifetime knows nothing; a start that was not answered may still
+   reach it, so it is told to refuse it. */
+void
+runner_hold_life (struct hk_runner *r, int64_t born_ms)
+{
+  struct runner_run *run;
+  struct runner_run *next;
+
+  if (born_ms <= r->born_ms)
+    return;
+  if (r->born_ms)
+    hk_log (HK_LOG_WARN, "runner", NULL, NULL,
+            "event=endpoint_reborn born=%" G_GINT64_FORMAT
+            " before=%" G_GINT64_FORMAT " runs=%u",
+            born_ms, r->born_ms, r->n_runs);
+  for (run = TAILQ_FIRST (&r->runs); run && r->born_ms; run = next)
+    {
+      next = TAILQ_NEXT (run, link);
+      if (run->unanswered && run->state != RUN_ENDED)
+        {
+          hk_task_id task = run->task;
+          unsigned number = run->number;
+
+          task.job = g_strdup (task.job);
+          runner_run_free (run);
+          runner_run_stop (r, &task, number);
+          g_free (task.job);
+        }
+      else
+        runner_run_free (run);
+    }
+  r->born_ms = born_ms;
+  r->described = FALSE;
+  r->listed = FALSE;
+  r->draining = FALSE;
+  r->seen = 0;
+  r->max_seq = 0;
+  r->clock_at_ms = 0;
+  r->lease_until_ms = 0;
+  r->lease_clock_ms = 0;
+  hk_pacing_init (&r->pacing);
+  runner_news (r);
+}
+
+/* Everything that was asked for counts, answered or not. */
+void
+runner_lease (struct hk_runner *r, int64_t deadline_clock_ms, int64_t now)
+{
+  if (deadline_clock_ms <= r->lease_clock_ms)
+    return;
+  r->lease_clock_ms = deadline_clock_ms;
+  r->lease_until_ms = hk_authority_lease_end (
+      deadline_clock_ms - runner_clock (r, now), now);
+}
+
+static void
+take_alive (struct hk_runner *r, const struct hk_runtime_run *seen)
+{
+  struct runner_run *run = runner_run_find (r, &seen->task, seen->run);
+
+  if (!run)
+    {
+      run = runner_run_add (r, &seen->task, seen->run);
+      hk_log (HK_LOG_INFO, "runner", NULL, seen->task.job,
+              "event=adopted step=%u index=%u run=%u percent=%u",
+              seen->task.step, seen->task.index, seen->run, seen->percent);
+      run->state = RUN_ALIVE;
+      runner_news (r);
+    }
+  if (run->state == RUN_ENDED && run->end_seq == 0
+      && run->how == HK_END_LAPSED)
+    hk_log (HK_LOG_ERROR, "runner", NULL, seen->task.job,
+            "event=run_outlived_lease step=%u index=%u run=%u",
+            seen->task.step, seen->task.index, seen->run);
+  if (run->state == RUN_STARTING)
+    {
+      run->state = RUN_ALIVE;
+      runner_news (r);
+    }
+  run->listed = r->list_count;
+  run->figure = seen->figure;
+  run->percent = seen->percent;
+  if (seen->checkpoint && strcmp (seen->checkpoint, run->checkpoint) != 0)
+    {
+      g_free (run->checkpoint);
+      run->checkpoint = g_strdup (seen->checkpoint);
+    }
+}
+
+static void
+take_end (struct hk_runner *r, const struct hk_runtime_end *end)
+{
+  struct runner_run *run;
+
+  if (end->seq <= r->seen)
+    return;
+  run = runner_run_find (r, &end->task, end->run);
+  if (!run)
+    run = runner_run_add (r, &end->task, end->run);
+  run->listed = r->list_count;
+  r->max_seq = MAX (r->max_seq, end->seq);
+  if (run->state != RUN_ENDED || run->end_seq == 0)
+    runner_run_end (run, end->how, end->seq, end->checkpoint);
+}
+
+/* Runs that a list asked for later than their last news does not show. */
+static void
+take_absent (struct hk_runner *r, int64_t sent_ms)
+{
+  struct runner_run *run;
+
+  TAILQ_FOREACH (run, &r->runs, link)
+  {
+    if (run->listed == r->list_count)
+      continue;
+    if (run->state == RUN_STOPPING && run->stop_answered_ms
+        && run->stop_answered_ms <= sent_ms)
+      runner_run_end (run, HK_END_REFUSED, 0, NULL);
+    else if (run->state == RUN_ALIVE && run->alive_ms <= sent_ms)
+      runner_run_end (run, HK_END_LOST, 0, NULL);
+  }
+}
+
+void
+runner_ends_advance (struct hk_runner *r)
+{
+  const struct runner_run *run;
+  uint64_t seen = r->max_seq;
+
+  TAILQ_FOREACH (run, &r->runs, link)
+  if (run->state == RUN_ENDED && run->end_seq > 0)
+    seen = MIN (seen, run->end_seq - 1);
+  r->seen = MAX (r->seen, seen);
+}
+
+/* Pacing */
+
+static void
+on_paced (int rc, const struct hk_runtime_list *list, int64_t clock_ms,
+          const struct hk_error *err, void *user)
+{
+  struct runner_run *run = user;
+
+  (void)list;
+  (void)clock_ms;
+  run->calls--;
+  run->pacing = FALSE;
+  if (run->gone)
+    {
+      if (run->calls == 0)
+        runner_run_release (run);
+      return;
+    }
+  if (rc == HK_OK)
+    run->pace = run->pace_wanted;
+  else
+    hk_log (HK_LOG_WARN, "runner", err->peer, run->task.job,
+            "event=pace_failed cause=\"%s\"", err->text);
+}
+
+static void
+pace (struct hk_runner *r, int64_t now)
+{
+  struct runner_run *run;
+  double worst = 0;
+  unsigned percent;
+
+  TAILQ_FOREACH (run, &r->runs, link)
+  if (run->state == RUN_ALIVE && run->target_ms > 0
+      && !(run->flags & HK_STEP_FILLS))
+    worst = MAX (worst, (double)run->figure / run->target_ms);
+  percent = hk_pacing_update (&r->pacing, worst, now);
+  TAILQ_FOREACH (run, &r->runs, link)
+  {
+    if (run->state != RUN_ALIVE || !(run->flags & HK_STEP_FILLS) || run->pacing
+        || run->pace == percent
+        || (ABS ((int)run->pace - (int)percent) < PACE_STEP && percent > 0
+            && percent < 100))
+      continue;
+    run->pacing = TRUE;
+    run->calls++;
+    run->pace_wanted = percent;
+    r->runtime->ops->pace (r->runtime, &run->task, run->number, percent,
+                           r->term, on_paced, run);
+  }
+}
+
+/* The loop */
+
+static void
+take_list (struct hk_runner *r, const struct hk_runtime_list *list,
+           int64_t sent_ms, int64_t now)
+{
+  runner_hold_life (r, list->born_ms);
+  if (list->born_ms < r->born_ms)
+    return;
+  r->clock_ms = list->clock_ms;
+  r->clock_at_ms = now;
+  r->list_count++;
+  if (!r->listed && list->n_ends > 0)
+    r->seen = list->ends[0].seq - 1;
+  for (size_t i = 0; i < list->n_runs; i++)
+    take_alive (r, &list->runs[i]);
+  for (size_t i = 0; i < list->n_ends; i++)
+    take_end (r, &list->ends[i]);
+  if (list->n_ends < ENDS_MAX)
+    take_absent (r, sent_ms);
+  runner_ends_advance (r);
+  if (!r->listed)
+    runner_news (r);
+  r->listed = TRUE;
+  pace (r, now);
+}
+
+static void
+on_hold_timer (void *user)
+{
+  struct hk_runner *r = user;
+  int64_t now = hk_clock_ms ();
+
+  if (r->lease_until_ms && now > r->lease_until_ms && r->n_runs > 0)
+    {
+      runner_runs_lost (r, HK_END_LAPSED, "leases are over");
+      r->lease_until_ms = 0;
+    }
+  if (!r->holding && !r->leaving)
+    hold (r, r->authority.hold_ms, WAIT_MS, NULL);
+}
+
+static void
+on_held (int rc, const struct hk_runtime_list *list, int64_t clock_ms,
+         const struct hk_error *err, void *user)
+{
+  struct hold *h = user;
+  struct hk_runner *r = h->r;
+  void (*last) (void *user) = h->last;
+  gboolean current = h->generation == r->hold_generation;
+  int64_t sent = h->sent_ms;
+
+  (void)clock_ms;
+  g_free (h);
+  if (!current)
+    return;
+  r->holding = FALSE;
+  if (rc == HK_OK)
+    {
+      if (r->hold_failures > 0)
+        hk_log (HK_LOG_INFO, "runner", NULL, NULL,
+                "event=endpoint_regained failures=%u", r->hold_failures);
+      r->hold_failures = 0;
+      take_list (r, list, sent, hk_clock_ms ());
+    }
+  else if (r->hold_failures++ == 0)
+    hk_log (HK_LOG_WARN, "runner", err->peer, NULL,
+            "event=endpoint_lost cause=\"%s\" runs=%u", err->text, r->n_runs);
+  if (last)
+    last (r);
+  else if (rc != HK_OK)
+    hk_timer_set (&r->hold_timer, RETRY_MS, on_hold_timer, r);
+  else if (r->n_runs == 0)
+    hk_timer_set (&r->hold_timer, IDLE_MS, on_hold_timer, r);
+  else
+    hk_timer_set (&r->hold_timer, r->max_seq > r->seen ? NOTING_MS : 0,
+                  on_hold_timer, r);
+}
+
+static void
+hold (struct hk_runner *r, int64_t reach_ms, int64_t wait_ms,
+      void (*last) (void *user))
+{
+  struct hold *h = g_new0 (struct hold, 1);
+  int64_t now = hk_clock_ms ();
+  int64_t deadline = 0;
+
+  if (runner_granted (r, now) && r->clock_at_ms)
+    {
+      deadline = runner_clock (r, now) + reach_ms;
+      runner_lease (r, deadline, now);
+    }
+  h->r = r;
+  h->generation = ++r->hold_generation;
+  h->sent_ms = now;
+  h->last = last;
+  r->holding = TRUE;
+  r->hold_sent_ms = now;
+  /* A first list is wanted at once. */
+  r->runtime->ops->hold (r->runtime, deadline, r->term, r->seen,
+                         r->listed && r->n_runs > 0 ? wait_ms : 0, on_held, h);
+}
+
+/* Supersedes the hold that waits, whose list will be older. */
+void
+runner_hold_now (struct hk_runner *r)
+{
+  hold (r, r->authority.hold_ms, 0, NULL);
+}
+
+/* Starts the loop again early if it pauses. */
+void
+runner_hold_soon (struct hk_runner *r)
+{
+  if (!r->holding && !r->leaving)
+    hk_timer_set (&r->hold_timer, 0, on_hold_timer, r);
+}
+
+void
+runner_hold_last (struct hk_runner *r, void (*last) (void *user))
+{
+  hk_timer_clear (&r->hold_timer);
+  hold (r, r->hold_max_ms, 0, last);
+}
+
+void
+runner_hold_start (struct hk_runner *r)
+{
+  hk_timer_set (&r->hold_timer, 0, on_hold_timer, r);
+}
+
+void
+runner_hold_stop (struct hk_runner *r)
+{
+  hk_timer_clear (&r->hold_timer);
+  r->hold_generation++;
+}
--- a/src/store/etcd_codec.c
+++ b/src/store/etcd_codec.c
@@ -3,15 +3,20 @@
 
 #include <string.h>
 
-void
-etcd_add_bytes (json_object *obj, const char *name, const char *text)
+static void
+add_value (json_object *obj, const char *name, const char *data, size_t len)
 {
-  g_autofree char *coded
-      = g_base64_encode ((const guchar *)text, strlen (text));
+  g_autofree char *coded = g_base64_encode ((const guchar *)data, len);
 
   json_object_object_add (obj, name, json_object_new_string (coded));
 }
 
+void
+etcd_add_bytes (json_object *obj, const char *name, const char *text)
+{
+  add_value (obj, name, text, strlen (text));
+}
+
 void
 etcd_add_int64 (json_object *obj, const char *name, int64_t value)
 {
@@ -40,7 +45,8 @@
 
   etcd_add_bytes (inner, "key", op->key);
   if (op->type == HK_STORE_PUT)
-    etcd_add_bytes (inner, "value", op->value);
+    add_value (inner, "value", op->value,
+               op->len ? op->len : strlen (op->value));
   if (op->lease)
     etcd_add_int64 (inner, "lease", op->lease);
   json_object_object_add (outer, names[op->type], inner);
@@ -113,11 +119,15 @@
   const char *coded = hk_json_str (obj, name);
   g_autofree guchar *raw = NULL;
   gsize n = 0;
+  char *copy;
 
   if (coded && *coded)
     raw = g_base64_decode (coded, &n);
+  copy = g_malloc0 (n + 1);
+  if (n > 0)
+    memcpy (copy, raw, n);
   *len = n;
-  return g_strndup (raw ? (char *)raw : "", n);
+  return copy;
 }
 
 int
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -9,6 +9,6 @@
                                 .n_then = 1,
                                 .n_otherwise = 1 };
   txn->compares[0] = (struct hk_store_compare){ key, mod_revision };
-  txn->then[0] = (struct hk_store_op){ HK_STORE_PUT, key, value, lease };
+  txn->then[0] = (struct hk_store_op){ HK_STORE_PUT, key, value, 0, lease };
   txn->otherwise[0] = (struct hk_store_op){ .type = HK_STORE_GET, .key = key };
 }
--- a/src/tables/table_apply.c
+++ b/src/tables/table_apply.c
@@ -212,7 +212,7 @@
       &txn, HK_KEY_TABLES, a->mod_revision,
       json_object_to_json_string_ext (merged, JSON_C_TO_STRING_PLAIN), 0);
   txn.n_then = 2;
-  txn.then[1] = (struct hk_store_op){ HK_STORE_PUT, audit_key, audit, 0 };
+  txn.then[1] = (struct hk_store_op){ HK_STORE_PUT, audit_key, audit, 0, 0 };
   hk_record_write (a->store, &txn, a->write_id, GIVE_UP_MS, on_written, a);
 }
 
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -1,10 +1,15 @@
 /* Structured logs: one key=value line per event, written through log4c. */
 #include "hyssopkeel/log.h"
 
+#include <fcntl.h>
 #include <log4c.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
+
+#include "hyssopkeel/clock.h"
+#include "hyssopkeel/metrics.h"
 
 static log4c_category_t *category;
 
@@ -33,8 +38,43 @@
 static const log4c_appender_type_t plain_appender
     = { .name = "hyssopkeel", .append = append_plain };
 
-int
-hk_log_init (const char *level)
+/* Lines in one second, far above what ten times the expected load writes. */
+#define LINES_PER_S 5000
+
+static gboolean
+line_allowed (void)
+{
+  static int64_t second;
+  static unsigned lines;
+  int64_t now = hk_clock_ms () / 1000;
+
+  if (now != second)
+    {
+      second = now;
+      lines = 0;
+    }
+  return lines++ < LINES_PER_S;
+}
+
+/* Lines to standard output are written without waiting: a reader that stalls
+   costs lines, which are counted, and no time. */
+static int
+append_stdout (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  const char *line = event->evt_rendered_msg;
+  size_t len = strlen (line);
+
+  (void)appender;
+  if (!line_allowed () || write (STDOUT_FILENO, line, len) != (ssize_t)len)
+    hk_metric_get ("hyssopkeel_log_dropped_total", "")->value++;
+  return 0;
+}
+
+static const log4c_appender_type_t stdout_appender
+    = { .name = "hyssopkeel-stdout", .append = append_stdout };
+
+static int
+init (const char *level, const log4c_appender_type_t *type)
 {
   log4c_appender_t *appender;
   log4c_layout_t *layout;
@@ -48,7 +88,7 @@
       layout = log4c_layout_get ("hyssopkeel");
       log4c_layout_set_type (layout, &plain_layout);
       appender = log4c_appender_get ("hyssopkeel");
-      log4c_appender_set_type (appender, &plain_appender);
+      log4c_appender_set_type (appender, type);
       log4c_appender_set_layout (appender, layout);
       category = log4c_category_get ("hyssopkeel");
       log4c_category_set_appender (category, appender);
@@ -59,6 +99,22 @@
   return HK_ERR_INVALID;
 }
 
+int
+hk_log_init (const char *level)
+{
+  return init (level, &plain_appender);
+}
+
+int
+hk_log_init_stdout (const char *level)
+{
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+
+  if (flags >= 0)
+    (void)fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  return init (level, &stdout_appender);
+}
+
 void
 hk_log (enum hk_log_level level, const char *task, const char *peer,
         const char *request, const char *fmt, ...)
--- a/tools/format.sh
+++ b/tools/format.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mapfile -t files < <(git ls-files -co --exclude-standard '*.c' '*.h' |
-  grep -v hk_rpc_xdr)
+  grep -vE 'hk_(rpc|job)_xdr')
 if [ "${1:-}" = --fix ]; then
   clang-format -i "${files[@]}"
 else
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
-git ls-files -co --exclude-standard '*.c' | grep -vE 'hk_rpc_xdr|tests/fuzz' |
+git ls-files -co --exclude-standard '*.c' | grep -vE 'hk_(rpc|job)_xdr|tests/fuzz' |
   xargs -P "$(nproc)" -n 4 clang-tidy -p "$build" --quiet 2> /dev/null
 echo "lint: clean"
