Order by what is still in time, admit by backlog, pace fillers by learned pressure

Change: policy order (in time, late, hopeless), admission by backlog over the rate that fillers can have, placement that packs serving tasks, pressure of image pairs learned from differences of tails, pace shared out to the lightest first.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -61,6 +61,7 @@
   int64_t ordered_ms;
   unsigned percent;
   unsigned figure;
+  unsigned figure_before;
   unsigned pace;
   gboolean unwanted;
   gboolean inherited;
@@ -153,6 +154,8 @@
  * @granted_until_ms: no grant to this agent reaches past this time.
  * @used_cpu_milli: of runs that count against the capacity.
  * @fill_cpu_milli: of runs that take what is left.
+ * @last_cpu_milli: of the counted runs, those that last.
+ * @worst_tail: largest share of its target that a serving task's tail is at.
  * @link: connection state, owned by the coordinator.
  */
 struct hk_instance
@@ -174,6 +177,7 @@
   int64_t granted_until_ms;
   unsigned used_cpu_milli;
   unsigned fill_cpu_milli;
+  unsigned last_cpu_milli;
   unsigned used_memory_mb;
   unsigned used_accelerators;
   unsigned stray_cpu_milli;
@@ -181,6 +185,7 @@
   unsigned n_runs;
   double failure_score;
   double slowness;
+  double worst_tail;
   int64_t suspect_until_ms;
   LIST_HEAD (, hk_run) runs;
   void *link;
--- a/include/hyssopkeel/hk_job_xdr.h
+++ b/include/hyssopkeel/hk_job_xdr.h
@@ -182,6 +182,7 @@
 	u_int accelerators;
 	u_int flags;
 	u_int target_ms;
+	char *image;
 	char *checkpoint;
 	struct {
 		u_int payload_len;
@@ -196,6 +197,13 @@
 };
 typedef struct hk_run_id hk_run_id;
 
+struct hk_press_row {
+	char *serving;
+	char *filler;
+	u_int milli;
+};
+typedef struct hk_press_row hk_press_row;
+
 struct hk_sync_reply {
 	bool_t leading;
 	u_quad_t term;
@@ -212,6 +220,10 @@
 		u_int noted_len;
 		hk_run_id *noted_val;
 	} noted;
+	struct {
+		u_int presses_len;
+		hk_press_row *presses_val;
+	} presses;
 };
 typedef struct hk_sync_reply hk_sync_reply;
 
@@ -316,6 +328,7 @@
 extern  bool_t xdr_hk_sync_args (XDR *, hk_sync_args*);
 extern  bool_t xdr_hk_start_order (XDR *, hk_start_order*);
 extern  bool_t xdr_hk_run_id (XDR *, hk_run_id*);
+extern  bool_t xdr_hk_press_row (XDR *, hk_press_row*);
 extern  bool_t xdr_hk_sync_reply (XDR *, hk_sync_reply*);
 extern  bool_t xdr_hk_ask_kind (XDR *, hk_ask_kind*);
 extern  bool_t xdr_hk_ask_args (XDR *, hk_ask_args*);
@@ -338,6 +351,7 @@
 extern bool_t xdr_hk_sync_args ();
 extern bool_t xdr_hk_start_order ();
 extern bool_t xdr_hk_run_id ();
+extern bool_t xdr_hk_press_row ();
 extern bool_t xdr_hk_sync_reply ();
 extern bool_t xdr_hk_ask_kind ();
 extern bool_t xdr_hk_ask_args ();
--- a/include/hyssopkeel/pacing.h
+++ b/include/hyssopkeel/pacing.h
@@ -5,34 +5,30 @@
 #include <stdint.h>
 
 /**
- * struct hk_pacing - how fast the fillers of one instance may work.
- * @percent: share of their speed.
- * @changed_ms: time of the last change.
- * @raised_ms: time of the last step up that was followed by trouble.
- * @ceiling: share at which the tail went over its target last.
- *
- * Zero-initialized memory is not valid; use hk_pacing_init().
+ * struct hk_pacing_filler - a task that fills, beside serving tasks.
+ * @share: of the instance's processors that it would use at full speed.
+ * @used: of the instance's processors that it used in the last report.
+ * @press: rise of the worst tail, as a share of its target, if it used all
+ *         processors.
+ * @percent: share of its speed it may have; set by hk_pacing_decide().
  */
-struct hk_pacing
+struct hk_pacing_filler
 {
+  double share;
+  double used;
+  double press;
   unsigned percent;
-  int64_t changed_ms;
-  unsigned ceiling;
-  int64_t ceiling_ms;
 };
 
-/** hk_pacing_init() - fillers at full speed. */
-void hk_pacing_init (struct hk_pacing *p);
-
 /**
- * hk_pacing_update() - decide from the tail of what serves beside them.
- * @p: state.
+ * hk_pacing_decide() - share out what the serving tasks can bear.
+ * @fillers: @n fillers; their @percent is set.
+ * @n: their number.
  * @worst: largest share of its target that a serving task's tail is at; 0 if
  *         nothing serves.
- * @now_ms: present time.
- *
- * Return: share of their speed that fillers may have now, percent.
+ * @settled: the last change has had time to show in @worst.
  */
-unsigned hk_pacing_update (struct hk_pacing *p, double worst, int64_t now_ms);
+void hk_pacing_decide (struct hk_pacing_filler *fillers, unsigned n,
+                       double worst, gboolean settled);
 
 #endif
--- a/include/hyssopkeel/slots.h
+++ b/include/hyssopkeel/slots.h
@@ -7,6 +7,7 @@
 /**
  * struct hk_slots_need - what a task needs.
  * @fills: it takes what others leave, and counts against no capacity.
+ * @lasts: it serves users of its own until it is stopped.
  * @per_instance_max: runs of its step on one instance; 0 for no limit.
  */
 struct hk_slots_need
@@ -15,6 +16,7 @@
   unsigned memory_mb;
   unsigned accelerators;
   gboolean fills;
+  gboolean lasts;
   unsigned per_instance_max;
 };
 
@@ -23,6 +25,11 @@
  * @cpu_free_milli: capacity that no counted run takes.
  * @fill_cpu_milli: asked for by runs that fill.
  * @same_step: runs of the same step there.
+ * @serving: tasks there whose tail latency has a target.
+ * @press: rise of the worst tail there, as a share of its target, if the task
+ *         used all processors.
+ * @worst_tail: largest share of its target that a tail there is at.
+ * @fill_room_milli: processors that fillers could use.
  * @slowness: learned run time against the mean; 1 is usual.
  * @failing: share of recent runs that failed, 0 to 1.
  * @usable: in service, right pool and labels.
@@ -36,6 +43,10 @@
   int64_t fill_cpu_milli;
   int64_t cpu_milli;
   unsigned same_step;
+  unsigned serving;
+  double press;
+  double worst_tail;
+  int64_t fill_room_milli;
   double slowness;
   double failing;
   gboolean usable;
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -97,6 +97,7 @@
   hk_engine_init (&c->engine);
   coord_commit_init (c);
   coord_estimates_init (c);
+  hk_pressure_init (&c->pressure);
   return c;
 }
 
@@ -139,6 +140,7 @@
   coord_commit_finish (c);
   hk_engine_finish (&c->engine);
   g_hash_table_unref (c->estimates);
+  hk_pressure_finish (&c->pressure);
   g_free (c->name);
   g_free (c->address);
   g_free (c);
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -9,6 +9,7 @@
 #include "hyssopkeel/engine.h"
 #include "hyssopkeel/log.h"
 #include "hyssopkeel/metrics.h"
+#include "hyssopkeel/pressure.h"
 #include "hyssopkeel/rpc_channel.h"
 #include "hyssopkeel/rpc_server.h"
 #include "hyssopkeel/timer.h"
@@ -52,6 +53,7 @@
   struct hk_rpc_request *parked;
   int64_t received_ms;
   int64_t last_stop_ms;
+  int64_t told_press_ms;
   struct hk_timer wait;
   GArray *ends;   /* of coord_end, from the last report */
   GArray *strays; /* of hk_run_id, runs reported that nobody wants */
@@ -119,6 +121,7 @@
   GHashTable *loading;
   struct hk_rpc_server server;
   GHashTable *estimates;
+  struct hk_pressure pressure;
   LIST_HEAD (, coord_question) questions;
   int64_t tick_count;
   int64_t overload_until_ms;
@@ -156,7 +159,20 @@
 
 /* coord_schedule.c */
 void coord_schedule (struct hk_coord *c, int64_t now);
+
+/* coord_share.c */
+int64_t coord_fill_room (const struct hk_instance *in);
+void coord_share_learn (struct hk_coord *c, struct hk_instance *in);
+void coord_share_tell (struct hk_coord *c, struct coord_link *l, GArray *rows,
+                       int64_t now);
+double coord_share_press (struct hk_coord *c, const struct hk_instance *in,
+                          const char *filler);
+
+/* coord_learn.c */
+struct hk_order_view;
 void coord_estimates_init (struct hk_coord *c);
+void coord_order_view (struct hk_coord *c, const struct hk_engine_job *job,
+                       int64_t now, struct hk_order_view *out);
 void coord_learn (struct hk_coord *c, const struct hk_run *run, hk_end_how how,
                   int64_t now);
 int64_t coord_estimate_ms (struct hk_coord *c,
--- a/src/coord/coord_schedule.c
+++ b/src/coord/coord_schedule.c
@@ -2,16 +2,11 @@
    the engine: order, placement, and what is learned from ends. */
 #include "coord.h"
 
+#include "hyssopkeel/order.h"
 #include "hyssopkeel/slots.h"
 
-/* Weight of a new sample of a run time. */
-#define LEARN_WEIGHT 0.2
-/* Weight of a new sample of an instance's failures and speed. */
-#define INSTANCE_WEIGHT 0.25
 /* An instance that is not heard from for this long gets no new work. */
 #define SILENT_MS 900
-/* A bad instance is tried again after this time. */
-#define SUSPECT_MS 4000
 
 struct candidate
 {
@@ -19,69 +14,6 @@
   double key;
 };
 
-struct estimate
-{
-  double mean_ms;
-  unsigned samples;
-};
-
-void
-coord_estimates_init (struct hk_coord *c)
-{
-  c->estimates
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-}
-
-/* Tasks of one image behave alike; without an image, those of one queue. */
-static const char *
-estimate_key (const struct hk_engine_step *step)
-{
-  return step->spec->image && *step->spec->image ? step->spec->image
-                                                 : step->job->spec.queue;
-}
-
-int64_t
-coord_estimate_ms (struct hk_coord *c, const struct hk_engine_step *step)
-{
-  const struct estimate *e
-      = g_hash_table_lookup (c->estimates, estimate_key (step));
-
-  return e && e->samples > 0 ? (int64_t)e->mean_ms : step->spec->estimate_ms;
-}
-
-void
-coord_learn (struct hk_coord *c, const struct hk_run *run, hk_end_how how,
-             int64_t now)
-{
-  const struct hk_engine_step *step = run->task->step;
-  struct hk_instance *in = run->instance;
-  struct estimate *e;
-  double ran = (double)(now - run->started_ms);
-
-  if (step->spec->flags & HK_STEP_LASTS || !run->started_ms)
-    return;
-  if (how != HK_END_DONE && how != HK_END_FAILED)
-    return;
-  in->failure_score
-      += INSTANCE_WEIGHT
-         * ((how == HK_END_FAILED ? 1.0 : 0.0) - in->failure_score);
-  in->suspect_until_ms = now + SUSPECT_MS;
-  if (how != HK_END_DONE)
-    return;
-  e = g_hash_table_lookup (c->estimates, estimate_key (step));
-  if (!e)
-    {
-      e = g_new0 (struct estimate, 1);
-      e->mean_ms = ran;
-      g_hash_table_insert (c->estimates, g_strdup (estimate_key (step)), e);
-    }
-  if (e->mean_ms > 0 && e->samples > 2)
-    in->slowness
-        += INSTANCE_WEIGHT * (MIN (ran / e->mean_ms, 10.0) - in->slowness);
-  e->mean_ms += LEARN_WEIGHT * (ran - e->mean_ms);
-  e->samples++;
-}
-
 static gboolean
 has_label (const struct hk_instance *in, const char *label)
 {
@@ -102,8 +34,20 @@
   return n;
 }
 
+/* What serves there, and how a filler would disturb it. */
+static void
+view_sharing (struct hk_coord *c, struct hk_slots_view *v,
+              const struct hk_instance *in, const hk_step_spec *spec)
+{
+  v->serving = in->last_cpu_milli > 0;
+  v->worst_tail = in->worst_tail;
+  v->fill_room_milli = coord_fill_room (in);
+  if (spec->flags & HK_STEP_FILLS && v->serving)
+    v->press = coord_share_press (c, in, spec->image);
+}
+
 static void
-view_of (struct hk_slots_view *v, struct hk_instance *in,
+view_of (struct hk_coord *c, struct hk_slots_view *v, struct hk_instance *in,
          const struct hk_engine_task *task, int64_t now)
 {
   const hk_step_spec *spec = task->step->spec;
@@ -125,6 +69,7 @@
     }
   v->slowness = in->slowness;
   v->failing = in->failure_score;
+  view_sharing (c, v, in, spec);
   if (spec->per_instance_max > 0)
     v->same_step = runs_of_step (in, task->step);
 }
@@ -138,6 +83,7 @@
                                 .memory_mb = spec->memory_mb,
                                 .accelerators = spec->accelerators,
                                 .fills = (spec->flags & HK_STEP_FILLS) != 0,
+                                .lasts = (spec->flags & HK_STEP_LASTS) != 0,
                                 .per_instance_max = spec->per_instance_max };
   unsigned n = g_hash_table_size (c->engine.instances);
   g_autofree struct hk_slots_view *views = g_new0 (struct hk_slots_view, n);
@@ -148,7 +94,7 @@
 
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
   {
-    view_of (&views[i], in, task, now);
+    view_of (c, &views[i], in, task, now);
     list[i++] = in;
   }
   best = hk_slots_choose (views, n, &need);
@@ -193,27 +139,18 @@
   TAILQ_FOREACH (job, &c->engine.active, link)
   {
     struct candidate cand = { .job = job };
+    struct hk_order_view view;
     gboolean waiting = FALSE;
 
     for (unsigned i = 0; i < job->spec.steps.steps_len && !waiting; i++)
       waiting = job->steps[i].waiting > 0;
     if (!waiting)
       continue;
-    cand.key = (double)job->spec.urgency * 1e12 + (double)job->accepted_ms;
+    coord_order_view (c, job, now, &view);
+    cand.key = hk_order_key (&view);
     g_array_append_val (list, cand);
   }
   qsort (list->data, list->len, sizeof (struct candidate), by_key);
   for (guint i = 0; i < list->len; i++)
     schedule_job (c, g_array_index (list, struct candidate, i).job, now);
 }
-
-gboolean
-coord_admit (struct hk_coord *c, const hk_job_spec *spec,
-             unsigned *retry_after_s, const char **reason)
-{
-  (void)c;
-  (void)spec;
-  (void)retry_after_s;
-  (void)reason;
-  return TRUE;
-}
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -60,6 +60,7 @@
   out->accelerators = spec->accelerators;
   out->flags = spec->flags;
   out->target_ms = spec->target_ms;
+  out->image = spec->image;
   out->checkpoint = task->checkpoint ? task->checkpoint : "";
   out->payload.payload_len = job->payload.payload_len;
   out->payload.payload_val = job->payload.payload_val;
@@ -134,6 +135,8 @@
       = g_array_new (FALSE, TRUE, sizeof (hk_start_order));
   g_autoptr (GArray) stops = g_array_new (FALSE, TRUE, sizeof (hk_run_id));
   g_autoptr (GArray) noted = g_array_new (FALSE, TRUE, sizeof (hk_run_id));
+  g_autoptr (GArray) presses
+      = g_array_new (FALSE, TRUE, sizeof (hk_press_row));
   struct hk_rpc_request *req = l->parked;
   hk_sync_reply reply = { .leading = TRUE, .term = c->term };
   int64_t now = hk_clock_ms ();
@@ -163,6 +166,9 @@
   reply.stops.stops_val = (hk_run_id *)stops->data;
   reply.noted.noted_len = noted->len;
   reply.noted.noted_val = (hk_run_id *)noted->data;
+  coord_share_tell (c, l, presses, now);
+  reply.presses.presses_len = presses->len;
+  reply.presses.presses_val = (hk_press_row *)presses->data;
   l->parked = NULL;
   hk_timer_clear (&l->wait);
   hk_rpc_reply (req, &reply);
@@ -469,6 +475,7 @@
              now + (int64_t)args->hold_left_ms - c->authority.hold_ms);
   describe (in, args, now);
   take_report (l, args, now);
+  coord_share_learn (c, in);
   reorder_missing (in, now);
   drop_unrevealed (c, in, now);
   answer (l, FALSE);
--- a/src/engine/engine.c
+++ b/src/engine/engine.c
@@ -35,6 +35,8 @@
     in->fill_cpu_milli += cpu;
   else
     in->used_cpu_milli += cpu;
+  if (spec->flags & HK_STEP_LASTS)
+    in->last_cpu_milli += cpu;
   in->used_memory_mb += (unsigned)sign * spec->memory_mb;
   in->used_accelerators += (unsigned)sign * spec->accelerators;
   in->n_runs += (unsigned)sign;
--- a/src/policy/pacing.c
+++ b/src/policy/pacing.c
@@ -1,61 +1,76 @@
-/* Pace of fillers beside serving tasks. The figure lags by half a second and
-   the interference changes within seconds, so speed falls fast, and rises
-   slowly below the share that went wrong last. */
+/* Pace of fillers beside serving tasks. The tail is steered to a share of its
+   target: what it can bear is given to the fillers that press least first.
+   Answers interference that differs by image and changes within seconds. */
 #include "hyssopkeel/pacing.h"
 
-/* The tail is steered to stay below this share of its target. */
-#define HIGH 0.85
-/* Below this share fillers may work faster. */
-#define LOW 0.7
-/* A change shows in the figure after this time: pace delay and half a
-   second of measuring. */
-#define SETTLE_MS 600
-#define STEP_UP 10
-/* A share that was too much is tried again after this time. */
-#define CEILING_MS 5000
-/* Pace while the tail is over its target. */
-#define STOPPED 0
+/* Share of its target that the tail may reach by the fillers' doing. */
+#define AIM 0.82
+/* Share of the distance that a rise takes in one step; falls take all of it,
+   since the figure lags. */
+#define RISE_GAIN 0.5
+/* Over the target, what was predicted to be enough was not. */
+#define OVER_FACTOR 0.5
+/* Least pressure that is reckoned with. */
+#define PRESS_MIN 0.02
+/* A slower pace than this is not worth its disturbance, percent. */
+#define PERCENT_MIN 4
 
-void
-hk_pacing_init (struct hk_pacing *p)
+static void
+share_out (struct hk_pacing_filler *fillers, unsigned n, double bearable)
 {
-  p->percent = 100;
-  p->changed_ms = 0;
-  p->ceiling = 100;
-  p->ceiling_ms = 0;
+  g_autofree gboolean *served = g_new0 (gboolean, n + 1);
+
+  for (unsigned k = 0; k < n; k++)
+    {
+      struct hk_pacing_filler *f;
+      unsigned lightest = n;
+      double cost;
+
+      for (unsigned i = 0; i < n; i++)
+        if (!served[i]
+            && (lightest == n || fillers[i].press < fillers[lightest].press))
+          lightest = i;
+      f = &fillers[lightest];
+      served[lightest] = TRUE;
+      cost = MAX (f->press, PRESS_MIN) * MAX (f->share, 0.001);
+      f->percent = (unsigned)(100 * CLAMP (bearable / cost, 0.0, 1.0));
+      if (f->percent < PERCENT_MIN)
+        f->percent = 0;
+      bearable = MAX (bearable - cost * f->percent / 100, 0);
+    }
 }
 
-unsigned
-hk_pacing_update (struct hk_pacing *p, double worst, int64_t now_ms)
+void
+hk_pacing_decide (struct hk_pacing_filler *fillers, unsigned n, double worst,
+                  gboolean settled)
 {
-  unsigned next = p->percent;
+  double caused = 0;
+  double given = 0;
+  double room = AIM - worst;
+  double bearable;
 
-  if (worst <= 0)
-    next = 100;
-  else if (worst >= 1.0)
-    next = now_ms - p->changed_ms < SETTLE_MS && p->percent < 100
-               ? p->percent / 2
-               : MIN (p->percent / 3, 25);
-  else if (worst >= HIGH)
-    next = now_ms - p->changed_ms < SETTLE_MS ? p->percent
-                                              : p->percent * 7 / 10;
-  else if (worst < LOW && now_ms - p->changed_ms >= SETTLE_MS)
+  for (unsigned i = 0; i < n; i++)
     {
-      unsigned limit = now_ms - p->ceiling_ms < CEILING_MS ? p->ceiling : 100;
+      double press = MAX (fillers[i].press, PRESS_MIN);
 
-      next = MAX (MIN (p->percent + STEP_UP, limit), p->percent);
+      caused += press * fillers[i].used;
+      given += press * fillers[i].share * fillers[i].percent / 100;
     }
-  if (worst >= HIGH && next < p->percent)
+  if (worst <= 0)
     {
-      p->ceiling = p->percent > STEP_UP ? p->percent - STEP_UP : STOPPED;
-      p->ceiling_ms = now_ms;
+      for (unsigned i = 0; i < n; i++)
+        fillers[i].percent = 100;
+      return;
     }
-  if (worst >= 1.0 && next < 5)
-    next = STOPPED;
-  if (next != p->percent)
+  if (room >= 0)
     {
-      p->percent = next;
-      p->changed_ms = now_ms;
+      if (!settled)
+        return;
+      bearable = MAX (caused, given) + RISE_GAIN * room;
     }
-  return p->percent;
+  else
+    bearable = MIN (caused, given) + room;
+  if (worst >= 1.0)
+    bearable = MIN (bearable, OVER_FACTOR * MIN (caused, given));
+  share_out (fillers, n, MAX (bearable, 0));
 }
--- a/src/policy/slots.c
+++ b/src/policy/slots.c
@@ -12,13 +12,35 @@
 #define BAD_PENALTY 1e6
 /* Weight of having had a run of the same task. */
 #define AVOID_PENALTY 1e5
+/* A filler prefers an instance without serving tasks by this much, then the
+   one where it may go fastest. */
+#define SERVING_PENALTY 1.0
+#define PACE_WEIGHT 3.0
+/* A filler waits rather than go slower than this. */
+#define PACE_MIN 0.3
+/* Share of its target that a tail may reach by fillers' doing. */
+#define TAIL_AIM 0.82
+/* Other tasks prefer an instance with serving tasks by this much. */
+#define APART_BONUS 2.0
 /* Slowness weighs like this share of an instance's processors. */
 #define SLOWNESS_WEIGHT 0.5
 
+/* Share of its speed that a filler can expect beside what serves there. */
+static double
+pace (const struct hk_slots_view *v, const struct hk_slots_need *need)
+{
+  double share = (double)need->cpu_milli / (double)MAX (v->cpu_milli, 1);
+  double rise = v->press * share;
+
+  if (v->serving == 0 || rise <= 0)
+    return 1.0;
+  return CLAMP ((TAIL_AIM - v->worst_tail) / rise, 0.0, 1.0);
+}
+
 static gboolean
 fits (const struct hk_slots_view *v, const struct hk_slots_need *need)
 {
-  int64_t left = v->cpu_free_milli;
+  int64_t left = need->fills ? v->fill_room_milli : v->cpu_free_milli;
 
   if (!v->usable)
     return FALSE;
@@ -27,18 +49,31 @@
   if (v->memory_free_mb < (int64_t)need->memory_mb
       || v->accelerators_free < (int64_t)need->accelerators)
     return FALSE;
-  if (need->fills)
-    left -= v->fill_cpu_milli;
+  if (need->fills && (v->failing > FAILING_MAX || pace (v, need) < PACE_MIN))
+    return FALSE;
   return left >= (int64_t)need->cpu_milli;
 }
 
+/* Fillers and serving tasks disturb each other, so they are kept apart as far
+   as room allows: serving tasks are packed, everything that does not fill
+   joins them, and fillers go where nothing serves. */
 static double
-score (const struct hk_slots_view *v)
+score (const struct hk_slots_view *v, const struct hk_slots_need *need)
 {
   double left = (double)(v->cpu_free_milli - v->fill_cpu_milli);
   double total = (double)MAX (v->cpu_milli, 1);
   double s = left / total - SLOWNESS_WEIGHT * (v->slowness - 1.0);
 
+  if (need->fills)
+    s = (double)v->fill_room_milli / total + PACE_WEIGHT * pace (v, need)
+        - (v->serving > 0 ? SERVING_PENALTY + v->press : 0)
+        - SLOWNESS_WEIGHT * (v->slowness - 1.0);
+  else if (need->lasts)
+    s = (v->serving > 0 ? APART_BONUS : 0) - (double)v->cpu_free_milli / total
+        - SLOWNESS_WEIGHT * (v->slowness - 1.0);
+  else if (v->serving > 0)
+    s += APART_BONUS;
+
   if (v->failing > FAILING_MAX || v->slowness > SLOWNESS_MAX)
     s -= BAD_PENALTY;
   if (v->avoid)
@@ -59,7 +94,7 @@
 
       if (!fits (&views[i], need))
         continue;
-      s = score (&views[i]);
+      s = score (&views[i], need);
       if (best < 0 || s > best_score)
         {
           best = (int)i;
--- a/src/rpc/hk_job.x
+++ b/src/rpc/hk_job.x
@@ -137,6 +137,7 @@
   unsigned accelerators;
   unsigned flags;
   unsigned target_ms;
+  string image<HK_JOB_NAME_MAX>;
   string checkpoint<HK_JOB_NAME_MAX>;
   opaque payload<HK_JOB_PAYLOAD_MAX>;
 };
@@ -146,6 +147,12 @@
   unsigned run;
 };
 
+struct hk_press_row {
+  string serving<HK_JOB_NAME_MAX>;
+  string filler<HK_JOB_NAME_MAX>;
+  unsigned milli;
+};
+
 struct hk_sync_reply {
   bool leading;
   unsigned hyper term;
@@ -153,6 +160,7 @@
   hk_start_order starts<HK_JOB_TASKS_MAX>;
   hk_run_id stops<HK_JOB_TASKS_MAX>;
   hk_run_id noted<HK_JOB_TASKS_MAX>;
+  hk_press_row presses<HK_JOB_TASKS_MAX>;
 };
 
 enum hk_ask_kind {
--- a/src/rpc/hk_job_xdr.c
+++ b/src/rpc/hk_job_xdr.c
@@ -689,6 +689,8 @@
 		IXDR_PUT_U_LONG(buf, objp->flags);
 		IXDR_PUT_U_LONG(buf, objp->target_ms);
 		}
+		 if (!xdr_string (xdrs, &objp->image, HK_JOB_NAME_MAX))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_NAME_MAX))
 			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->payload.payload_val, (u_int *) &objp->payload.payload_len, HK_JOB_PAYLOAD_MAX))
@@ -720,6 +722,8 @@
 		objp->flags = IXDR_GET_U_LONG(buf);
 		objp->target_ms = IXDR_GET_U_LONG(buf);
 		}
+		 if (!xdr_string (xdrs, &objp->image, HK_JOB_NAME_MAX))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_NAME_MAX))
 			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->payload.payload_val, (u_int *) &objp->payload.payload_len, HK_JOB_PAYLOAD_MAX))
@@ -741,6 +745,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->target_ms))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->image, HK_JOB_NAME_MAX))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_NAME_MAX))
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->payload.payload_val, (u_int *) &objp->payload.payload_len, HK_JOB_PAYLOAD_MAX))
@@ -760,6 +766,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hk_press_row (XDR *xdrs, hk_press_row *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->serving, HK_JOB_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->filler, HK_JOB_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->milli))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hk_sync_reply (XDR *xdrs, hk_sync_reply *objp)
 {
@@ -780,6 +800,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->noted.noted_val, (u_int *) &objp->noted.noted_len, HK_JOB_TASKS_MAX,
 		sizeof (hk_run_id), (xdrproc_t) xdr_hk_run_id))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->presses.presses_val, (u_int *) &objp->presses.presses_len, HK_JOB_TASKS_MAX,
+		sizeof (hk_press_row), (xdrproc_t) xdr_hk_press_row))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/runner/runner.c
+++ b/src/runner/runner.c
@@ -18,7 +18,7 @@
   r->authority = options->authority;
   r->hold_max_ms = options->hold_max_ms;
   TAILQ_INIT (&r->runs);
-  hk_pacing_init (&r->pacing);
+  hk_pressure_init (&r->pressure);
   return r;
 }
 
@@ -126,6 +126,7 @@
     runner_run_free (run);
   g_free (r->name);
   g_free (r->domain);
+  hk_pressure_finish (&r->pressure);
   g_free (r->pool);
   g_strfreev (r->labels);
   g_free (r);
--- a/src/runner/runner.h
+++ b/src/runner/runner.h
@@ -9,6 +9,7 @@
 #include "hyssopkeel/log.h"
 #include "hyssopkeel/metrics.h"
 #include "hyssopkeel/pacing.h"
+#include "hyssopkeel/pressure.h"
 #include "hyssopkeel/rpc_channel.h"
 #include "hyssopkeel/timer.h"
 
@@ -39,6 +40,7 @@
   unsigned accelerators;
   unsigned flags;
   unsigned target_ms;
+  char *image;
   unsigned percent;
   unsigned figure;
   unsigned pace;
@@ -90,7 +92,8 @@
   uint64_t seen;
   uint64_t max_seq;
   struct hk_timer hold_timer;
-  struct hk_pacing pacing;
+  struct hk_pressure pressure;
+  int64_t paced_ms;
 
   /* the coordinator */
   uint64_t term;
@@ -144,6 +147,9 @@
 void runner_ends_advance (struct hk_runner *r);
 void runner_hold_stop (struct hk_runner *r);
 
+/* runner_pace.c */
+void runner_pace (struct hk_runner *r, int64_t now);
+
 /* runner_sync.c */
 void runner_sync_start (struct hk_runner *r);
 void runner_sync_send (struct hk_runner *r);
--- a/src/runner/runner_hold.c
+++ b/src/runner/runner_hold.c
@@ -12,8 +12,6 @@
 #define RETRY_MS 100
 /* Ends that one answer can list. */
 #define ENDS_MAX 500
-/* Changes of pace smaller than this are not worth a call, percent. */
-#define PACE_STEP 3
 
 struct hold
 {
@@ -66,7 +64,6 @@
   r->clock_at_ms = 0;
   r->lease_until_ms = 0;
   r->lease_clock_ms = 0;
-  hk_pacing_init (&r->pacing);
   runner_news (r);
 }
 
@@ -161,58 +158,6 @@
   r->seen = MAX (r->seen, seen);
 }
 
-/* Pacing */
-
-static void
-on_paced (int rc, const struct hk_runtime_list *list, int64_t clock_ms,
-          const struct hk_error *err, void *user)
-{
-  struct runner_run *run = user;
-
-  (void)list;
-  (void)clock_ms;
-  run->calls--;
-  run->pacing = FALSE;
-  if (run->gone)
-    {
-      if (run->calls == 0)
-        runner_run_release (run);
-      return;
-    }
-  if (rc == HK_OK)
-    run->pace = run->pace_wanted;
-  else
-    hk_log (HK_LOG_WARN, "runner", err->peer, run->task.job,
-            "event=pace_failed cause=\"%s\"", err->text);
-}
-
-static void
-pace (struct hk_runner *r, int64_t now)
-{
-  struct runner_run *run;
-  double worst = 0;
-  unsigned percent;
-
-  TAILQ_FOREACH (run, &r->runs, link)
-  if (run->state == RUN_ALIVE && run->target_ms > 0
-      && !(run->flags & HK_STEP_FILLS))
-    worst = MAX (worst, (double)run->figure / run->target_ms);
-  percent = hk_pacing_update (&r->pacing, worst, now);
-  TAILQ_FOREACH (run, &r->runs, link)
-  {
-    if (run->state != RUN_ALIVE || !(run->flags & HK_STEP_FILLS) || run->pacing
-        || run->pace == percent
-        || (ABS ((int)run->pace - (int)percent) < PACE_STEP && percent > 0
-            && percent < 100))
-      continue;
-    run->pacing = TRUE;
-    run->calls++;
-    run->pace_wanted = percent;
-    r->runtime->ops->pace (r->runtime, &run->task, run->number, percent,
-                           r->term, on_paced, run);
-  }
-}
-
 /* The loop */
 
 static void
@@ -237,7 +182,7 @@
   if (!r->listed)
     runner_news (r);
   r->listed = TRUE;
-  pace (r, now);
+  runner_pace (r, now);
 }
 
 static void
--- a/src/runner/runner_run.c
+++ b/src/runner/runner_run.c
@@ -43,6 +43,7 @@
   run->number = number;
   run->pace = 100;
   run->checkpoint = g_strdup ("");
+  run->image = g_strdup ("");
   TAILQ_INSERT_TAIL (&r->runs, run, link);
   r->n_runs++;
   return run;
@@ -53,6 +54,7 @@
 {
   g_free (run->task.job);
   g_free (run->checkpoint);
+  g_free (run->image);
   g_free (run->payload);
   g_free (run);
 }
@@ -296,6 +298,8 @@
   run->accelerators = order->accelerators;
   run->flags = order->flags;
   run->target_ms = order->target_ms;
+  g_free (run->image);
+  run->image = g_strdup (order->image);
 }
 
 void
--- a/src/runner/runner_sync.c
+++ b/src/runner/runner_sync.c
@@ -157,6 +157,13 @@
          it to count as noted. */
       runner_hold_soon (r);
     }
+  for (u_int i = 0; i < reply->presses.presses_len; i++)
+    {
+      const hk_press_row *row = &reply->presses.presses_val[i];
+
+      hk_pressure_set (&r->pressure, row->serving, row->filler,
+                       row->milli / 1000.0);
+    }
   for (u_int i = 0; i < reply->stops.stops_len; i++)
     runner_run_stop (r, &reply->stops.stops_val[i].task,
                      reply->stops.stops_val[i].run);
