Admit until a job would be worth nothing; mend a false refusal

Change: admission at 2.5 objectives; an open try makes the outcome unknown; a job with nothing running is placed wherever it fits while most room is free.

--- a/include/hyssopkeel/slots.h
+++ b/include/hyssopkeel/slots.h
@@ -8,6 +8,8 @@
  * struct hk_slots_need - what a task needs.
  * @fills: it takes what others leave, and counts against no capacity.
  * @lasts: it serves users of its own until it is stopped.
+ * @starving: its job has waited long with nothing running; it is placed
+ *            wherever its memory fits, however slow it will be.
  * @per_instance_max: runs of its step on one instance; 0 for no limit.
  */
 struct hk_slots_need
@@ -17,6 +19,7 @@
   unsigned accelerators;
   gboolean fills;
   gboolean lasts;
+  gboolean starving;
   unsigned per_instance_max;
 };
 
--- a/src/coord/coord_ask.c
+++ b/src/coord/coord_ask.c
@@ -278,7 +278,8 @@
 {
   hk_ask_reply reply = { .outcome = HK_ASK_UNKNOWN, .reason = "" };
 
-  if (!q->delivered)
+  /* A try that is still open may be stored by now. */
+  if (!q->delivered && !q->busy)
     {
       reply.outcome = HK_ASK_REFUSED;
       reply.reason = "no coordinator can be reached";
--- a/src/coord/coord_schedule.c
+++ b/src/coord/coord_schedule.c
@@ -7,6 +7,10 @@
 
 /* An instance that is not heard from for this long gets no new work. */
 #define SILENT_MS 900
+/* A job that may run and has nothing running for this long is given a place
+   while less than STARVING_USE of the processors are taken. */
+#define STARVING_MS 900
+#define STARVING_USE 0.55
 
 struct candidate
 {
@@ -74,6 +78,24 @@
     v->same_step = runs_of_step (in, task->step);
 }
 
+static gboolean
+starving (struct hk_coord *c, const struct hk_engine_task *task, int64_t now)
+{
+  const struct hk_instance *in;
+  double used = 0;
+  double total = 0;
+
+  if (task->step->job->n_runs > 0 || now - task->ready_ms < STARVING_MS)
+    return FALSE;
+  TAILQ_FOREACH (in, &c->engine.instance_list, next)
+  if (in->described)
+    {
+      used += in->used_cpu_milli;
+      total += in->cpu_milli;
+    }
+  return used < STARVING_USE * total;
+}
+
 /* Returns FALSE if the task fits nowhere now. */
 static gboolean
 place (struct hk_coord *c, struct hk_engine_task *task, int64_t now)
@@ -84,7 +106,8 @@
                                 .accelerators = spec->accelerators,
                                 .fills = (spec->flags & HK_STEP_FILLS) != 0,
                                 .lasts = (spec->flags & HK_STEP_LASTS) != 0,
-                                .per_instance_max = spec->per_instance_max };
+                                .per_instance_max = spec->per_instance_max,
+                                .starving = starving (c, task, now) };
   unsigned n = g_hash_table_size (c->engine.instances);
   g_autofree struct hk_slots_view *views = g_new0 (struct hk_slots_view, n);
   g_autofree struct hk_instance **list = g_new0 (struct hk_instance *, n);
--- a/src/policy/order.c
+++ b/src/policy/order.c
@@ -8,9 +8,9 @@
 #define CLASS_STEP 1e10
 #define URGENCY_STEP 1e12
 #define HOPELESS 1e15
-/* A job is admitted if it should be done within this share of its
-   objective; estimates are off by half either way. */
-#define ADMIT_FACTOR 1.0
+/* A job is admitted if it should be done within this many times its
+   objective: before it is worth nothing, less the error of estimates. */
+#define ADMIT_FACTOR 2.5
 #define RETRY_MAX_S 8
 
 gboolean
--- a/src/policy/slots.c
+++ b/src/policy/slots.c
@@ -49,6 +49,8 @@
   if (v->memory_free_mb < (int64_t)need->memory_mb
       || v->accelerators_free < (int64_t)need->accelerators)
     return FALSE;
+  if (need->fills && need->starving)
+    return TRUE;
   if (need->fills && (v->failing > FAILING_MAX || pace (v, need) < PACE_MIN))
     return FALSE;
   return left >= (int64_t)need->cpu_milli;
