Find a dead endpoint: extend nothing after a failed hold

Change: no extension until an answer comes; two refused connections prove a crash; an agent without its endpoint takes no new work.

--- a/src/runner/runner.h
+++ b/src/runner/runner.h
@@ -13,6 +13,9 @@
 #include "hyssopkeel/rpc_channel.h"
 #include "hyssopkeel/timer.h"
 
+/* Failed holds after which no new work is asked for. */
+#define RUNNER_FAILURES_MAX 2
+
 enum run_state
 {
   RUN_STARTING, /* ordered; the endpoint has not confirmed it */
@@ -89,6 +92,7 @@
   unsigned hold_generation;
   int64_t hold_sent_ms;
   unsigned hold_failures;
+  unsigned refusals;
   uint64_t seen;
   uint64_t max_seq;
   struct hk_timer hold_timer;
--- a/src/runner/runner_hold.c
+++ b/src/runner/runner_hold.c
@@ -10,6 +10,8 @@
 #define IDLE_MS 300
 /* Pause after a hold that failed. */
 #define RETRY_MS 100
+/* Connections refused one after another that prove a crash. */
+#define REFUSALS_MAX 2
 /* Ends that one answer can list. */
 #define ENDS_MAX 500
 
@@ -200,6 +202,21 @@
     hold (r, r->authority.hold_ms, WAIT_MS, NULL);
 }
 
+/* A refused connection means that no process listens: the endpoint crashed,
+   and with it all that it ran. */
+static void
+hold_failed (struct hk_runner *r, int rc, const struct hk_error *err)
+{
+  r->refusals = rc == HK_ERR_UNAVAILABLE ? r->refusals + 1 : 0;
+  if (r->hold_failures++ == 0)
+    hk_log (HK_LOG_WARN, "runner", err->peer, NULL,
+            "event=endpoint_lost cause=\"%s\" runs=%u", err->text, r->n_runs);
+  if (r->refusals == REFUSALS_MAX)
+    runner_runs_lost (r, HK_END_LOST, "nothing listens at the endpoint");
+  if (r->hold_failures == RUNNER_FAILURES_MAX)
+    runner_news (r);
+}
+
 static void
 on_held (int rc, const struct hk_runtime_list *list, int64_t clock_ms,
          const struct hk_error *err, void *user)
@@ -221,11 +238,11 @@
         hk_log (HK_LOG_INFO, "runner", NULL, NULL,
                 "event=endpoint_regained failures=%u", r->hold_failures);
       r->hold_failures = 0;
+      r->refusals = 0;
       take_list (r, list, sent, hk_clock_ms ());
     }
-  else if (r->hold_failures++ == 0)
-    hk_log (HK_LOG_WARN, "runner", err->peer, NULL,
-            "event=endpoint_lost cause=\"%s\" runs=%u", err->text, r->n_runs);
+  else
+    hold_failed (r, rc, err);
   if (last)
     last (r);
   else if (rc != HK_OK)
@@ -245,7 +262,9 @@
   int64_t now = hk_clock_ms ();
   int64_t deadline = 0;
 
-  if (runner_granted (r, now) && r->clock_at_ms)
+  /* After a failure nothing is extended until an answer shows that the
+     endpoint lives; else a dead one would never be found. */
+  if (runner_granted (r, now) && r->clock_at_ms && r->hold_failures == 0)
     {
       deadline = runner_clock (r, now) + reach_ms;
       runner_lease (r, deadline, now);
--- a/src/runner/runner_sync.c
+++ b/src/runner/runner_sync.c
@@ -244,7 +244,8 @@
                         .term = r->term,
                         .described = r->described,
                         .draining = r->draining,
-                        .leaving = r->leaving || r->leaving_endpoint,
+                        .leaving = r->leaving || r->leaving_endpoint
+                                   || r->hold_failures >= RUNNER_FAILURES_MAX,
                         .pool = r->pool ? r->pool : "" };
   g_autofree hk_run_report *runs = g_new0 (hk_run_report, r->n_runs + 1);
   g_autofree hk_run_end *ends = g_new0 (hk_run_end, r->n_runs + 1);
