Pace fillers by pair of images, and move those that hardly run

Change: each serving image bears its own rise; light fillers are left alone; a filler below a quarter of its speed for a second goes back to the queue with its checkpoint if another instance would let it run.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -47,6 +47,7 @@
  * @ordered_ms: time of the last order about it; 0 if it is known to nobody.
  * @undescribed: its agent has asked what the run is.
  * @reported_ms: time of the last report that showed it.
+ * @slow_since_ms: time since which its pace has been too low; 0 if it is not.
  * @inherited: placed by an earlier coordinator, which may have ordered it.
  */
 struct hk_run
@@ -67,6 +68,7 @@
   gboolean inherited;
   gboolean undescribed;
   int64_t reported_ms;
+  int64_t slow_since_ms;
   LIST_ENTRY (hk_run) link;
 };
 
@@ -155,7 +157,6 @@
  * @used_cpu_milli: of runs that count against the capacity.
  * @fill_cpu_milli: of runs that take what is left.
  * @last_cpu_milli: of the counted runs, those that last.
- * @worst_tail: largest share of its target that a serving task's tail is at.
  * @link: connection state, owned by the coordinator.
  */
 struct hk_instance
@@ -185,7 +186,6 @@
   unsigned n_runs;
   double failure_score;
   double slowness;
-  double worst_tail;
   int64_t suspect_until_ms;
   LIST_HEAD (, hk_run) runs;
   void *link;
--- a/include/hyssopkeel/log.h
+++ b/include/hyssopkeel/log.h
@@ -29,6 +29,9 @@
  */
 int hk_log_init_stdout (const char *level);
 
+/** hk_log_enabled() - whether lines of a level are written. */
+gboolean hk_log_enabled (enum hk_log_level level);
+
 /**
  * hk_log() - write one key=value line.
  * @level: severity.
--- a/include/hyssopkeel/slots.h
+++ b/include/hyssopkeel/slots.h
@@ -29,9 +29,8 @@
  * @fill_cpu_milli: asked for by runs that fill.
  * @same_step: runs of the same step there.
  * @serving: tasks there whose tail latency has a target.
- * @press: rise of the worst tail there, as a share of its target, if the task
- *         used all processors.
- * @worst_tail: largest share of its target that a tail there is at.
+ * @pace: share of its speed that the task, if it fills, would have there.
+ * @burden: share of what the serving tasks there can bear that it would use.
  * @fill_room_milli: processors that fillers could use.
  * @slowness: learned run time against the mean; 1 is usual.
  * @failing: share of recent runs that failed, 0 to 1.
@@ -47,8 +46,8 @@
   int64_t cpu_milli;
   unsigned same_step;
   unsigned serving;
-  double press;
-  double worst_tail;
+  double pace;
+  double burden;
   int64_t fill_room_milli;
   double slowness;
   double failing;
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -19,6 +19,7 @@
   c->pass_due = FALSE;
   if (c->state != COORD_LEADING)
     return;
+  coord_share_move (c, hk_clock_ms ());
   coord_schedule (c, hk_clock_ms ());
   coord_commit_next (c);
 }
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -159,14 +159,19 @@
 
 /* coord_schedule.c */
 void coord_schedule (struct hk_coord *c, int64_t now);
+gboolean coord_better_place (struct hk_coord *c,
+                             const struct hk_engine_task *task,
+                             const struct hk_instance *than, int64_t now);
 
 /* coord_share.c */
 int64_t coord_fill_room (const struct hk_instance *in);
 void coord_share_learn (struct hk_coord *c, struct hk_instance *in);
 void coord_share_tell (struct hk_coord *c, struct coord_link *l, GArray *rows,
                        int64_t now);
-double coord_share_press (struct hk_coord *c, const struct hk_instance *in,
-                          const char *filler);
+void coord_share_expect (struct hk_coord *c, const struct hk_instance *in,
+                         const hk_step_spec *filler, double *pace,
+                         double *burden);
+void coord_share_move (struct hk_coord *c, int64_t now);
 
 /* coord_learn.c */
 struct hk_order_view;
--- a/src/coord/coord_schedule.c
+++ b/src/coord/coord_schedule.c
@@ -11,6 +11,8 @@
    while less than STARVING_USE of the processors are taken. */
 #define STARVING_MS 900
 #define STARVING_USE 0.55
+/* A filler is moved to where it would go at least this fast. */
+#define BETTER_PACE 0.85
 
 struct candidate
 {
@@ -44,10 +46,10 @@
               const struct hk_instance *in, const hk_step_spec *spec)
 {
   v->serving = in->last_cpu_milli > 0;
-  v->worst_tail = in->worst_tail;
   v->fill_room_milli = coord_fill_room (in);
+  v->pace = 1.0;
   if (spec->flags & HK_STEP_FILLS && v->serving)
-    v->press = coord_share_press (c, in, spec->image);
+    coord_share_expect (c, in, spec, &v->pace, &v->burden);
 }
 
 static void
@@ -96,6 +98,28 @@
   return used < STARVING_USE * total;
 }
 
+gboolean
+coord_better_place (struct hk_coord *c, const struct hk_engine_task *task,
+                    const struct hk_instance *than, int64_t now)
+{
+  const hk_step_spec *spec = task->step->spec;
+  struct hk_instance *in;
+
+  TAILQ_FOREACH (in, &c->engine.instance_list, next)
+  {
+    struct hk_slots_view v = { 0 };
+
+    if (in == than)
+      continue;
+    view_of (c, &v, in, task, now);
+    if (v.usable && v.pace >= BETTER_PACE
+        && v.fill_room_milli >= (int64_t)spec->cpu_milli
+        && v.memory_free_mb >= (int64_t)spec->memory_mb)
+      return TRUE;
+  }
+  return FALSE;
+}
+
 /* Returns FALSE if the task fits nowhere now. */
 static gboolean
 place (struct hk_coord *c, struct hk_engine_task *task, int64_t now)
--- a/src/coord/coord_share.c
+++ b/src/coord/coord_share.c
@@ -2,8 +2,16 @@
    and tells the agents. */
 #include "coord.h"
 
+#include "hyssopkeel/pacing.h"
+
 /* Agents are told what was learned this often. */
 #define TELL_MS 1000
+/* A filler at this pace or less, percent, ... */
+#define MOVE_PACE 25
+/* ... for this long is moved, longer than a swing of a tail's noise, ... */
+#define MOVE_AFTER_MS 1000
+/* ... unless this much work would be lost, percent. */
+#define MOVE_LOSS 12
 /* Share of its processors that a serving task uses at its peaks. */
 #define LASTING_USE 0.65
 
@@ -55,7 +63,6 @@
   double total = (double)MAX (in->cpu_milli, 1);
   struct hk_run *run;
 
-  in->worst_tail = 0;
   LIST_FOREACH (run, &in->runs, link)
   if (fills (run))
     add_use (uses, run->task->step->spec->image,
@@ -65,7 +72,6 @@
     {
       double target = run->task->step->spec->target_ms;
 
-      in->worst_tail = MAX (in->worst_tail, run->figure / target);
       if (run->figure_before > 0)
         hk_pressure_learn (&c->pressure, run->task->step->spec->image,
                            ((double)run->figure - run->figure_before) / target,
@@ -119,17 +125,61 @@
   }
 }
 
-double
-coord_share_press (struct hk_coord *c, const struct hk_instance *in,
-                   const char *filler)
+/* How a filler would fare on an instance, and what it would cost there. */
+void
+coord_share_expect (struct hk_coord *c, const struct hk_instance *in,
+                    const hk_step_spec *filler, double *pace, double *burden)
 {
   const struct hk_run *run;
-  double press = 0;
+  double share = (double)filler->cpu_milli / (double)MAX (in->cpu_milli, 1);
 
+  *pace = 1.0;
+  *burden = 0;
   LIST_FOREACH (run, &in->runs, link)
   if (serves (run))
-    press
-        = MAX (press, hk_pressure_get (&c->pressure,
-                                       run->task->step->spec->image, filler));
-  return press;
+    {
+      double tail
+          = (double)run->figure / (double)run->task->step->spec->target_ms;
+      double press = hk_pressure_get (
+          &c->pressure, run->task->step->spec->image, filler->image);
+      double left = MAX (HK_PACING_AIM - tail, 0.01);
+
+      *pace = MIN (*pace, hk_pacing_expect (&tail, &press, 1, share));
+      *burden = MAX (*burden, MIN (press * share / left, 1.0));
+    }
+}
+
+/* A filler that hardly moves goes back to the queue when another instance
+   would let it run; its checkpoint goes with it. */
+void
+coord_share_move (struct hk_coord *c, int64_t now)
+{
+  struct hk_instance *in;
+  struct hk_run *run;
+
+  TAILQ_FOREACH (in, &c->engine.instance_list, next)
+  LIST_FOREACH (run, &in->runs, link)
+  {
+    const hk_step_spec *spec = run->task->step->spec;
+
+    if (!fills (run) || run->unwanted || run->pace > MOVE_PACE)
+      {
+        run->slow_since_ms = 0;
+        continue;
+      }
+    if (!run->slow_since_ms)
+      run->slow_since_ms = now;
+    if (now - run->slow_since_ms < MOVE_AFTER_MS
+        || (!(spec->flags & HK_STEP_CHECKPOINTS) && run->percent > MOVE_LOSS)
+        || !coord_better_place (c, run->task, in, now))
+      continue;
+    hk_log (HK_LOG_INFO, "share", in->name, run->task->step->job->spec.id,
+            "event=moved step=%u index=%u run=%u pace=%u percent=%u "
+            "slow_ms=%" G_GINT64_FORMAT,
+            run->task->step->index, run->task->index, run->number, run->pace,
+            run->percent, now - run->slow_since_ms);
+    run->unwanted = TRUE;
+    run->ordered_ms = 0;
+    return;
+  }
 }
--- a/src/policy/pacing.c
+++ b/src/policy/pacing.c
@@ -1,12 +1,11 @@
-/* Pace of fillers beside serving tasks. The tail is steered to a share of its
+/* Pace of fillers beside serving tasks. Each tail is steered to a share of its
    target: what it can bear is given to the fillers that press least first.
-   Answers interference that differs by image and changes within seconds. */
+   Answers interference that differs by pair of images and changes within
+   seconds. */
 #include "hyssopkeel/pacing.h"
 
-/* Share of its target that the tail may reach by the fillers' doing. */
-#define AIM 0.82
 /* Share of the distance that a rise takes in one step; falls take all of it,
-   since the figure lags. */
+   since the figures lag. */
 #define RISE_GAIN 0.5
 /* Over the target, what was predicted to be enough was not. */
 #define OVER_FACTOR 0.5
@@ -14,63 +13,120 @@
 #define PRESS_MIN 0.02
 /* A slower pace than this is not worth its disturbance, percent. */
 #define PERCENT_MIN 4
+/* A filler that lengthens every tail by less than this share of its target is
+   left alone: the tail's own noise is larger. */
+#define LIGHT 0.02
+/* Unless a tail stays over its target for this long, milliseconds. */
+#define OVER_MAX_MS 1500
+#define TINY 1e-6
 
-static void
-share_out (struct hk_pacing_filler *fillers, unsigned n, double bearable)
+static double
+press_at (const struct hk_pacing_view *v, unsigned filler, unsigned tail)
 {
-  g_autofree gboolean *served = g_new0 (gboolean, n + 1);
-
-  for (unsigned k = 0; k < n; k++)
-    {
-      struct hk_pacing_filler *f;
-      unsigned lightest = n;
-      double cost;
-
-      for (unsigned i = 0; i < n; i++)
-        if (!served[i]
-            && (lightest == n || fillers[i].press < fillers[lightest].press))
-          lightest = i;
-      f = &fillers[lightest];
-      served[lightest] = TRUE;
-      cost = MAX (f->press, PRESS_MIN) * MAX (f->share, 0.001);
-      f->percent = (unsigned)(100 * CLAMP (bearable / cost, 0.0, 1.0));
-      if (f->percent < PERCENT_MIN)
-        f->percent = 0;
-      bearable = MAX (bearable - cost * f->percent / 100, 0);
-    }
+  return MAX (v->press[filler * v->n_tails + tail], PRESS_MIN);
 }
 
-void
-hk_pacing_decide (struct hk_pacing_filler *fillers, unsigned n, double worst,
-                  gboolean settled)
+/* Rise that a tail can bear from all fillers together. */
+static double
+bearable (const struct hk_pacing_view *v, unsigned tail)
 {
   double caused = 0;
   double given = 0;
-  double room = AIM - worst;
-  double bearable;
+  double room = HK_PACING_AIM - v->tails[tail];
+  double rise;
 
-  for (unsigned i = 0; i < n; i++)
+  for (unsigned i = 0; i < v->n_fillers; i++)
     {
-      double press = MAX (fillers[i].press, PRESS_MIN);
+      const struct hk_pacing_filler *f = &v->fillers[i];
 
-      caused += press * fillers[i].used;
-      given += press * fillers[i].share * fillers[i].percent / 100;
+      caused += press_at (v, i, tail) * f->used;
+      given += press_at (v, i, tail) * f->share * f->percent / 100;
     }
-  if (worst <= 0)
+  if (room < 0)
+    rise = MIN (caused, given) + room;
+  else if (v->settled)
+    rise = MAX (caused, given) + RISE_GAIN * room;
+  else
+    rise = caused + room;
+  if (v->tails[tail] >= 1.0)
+    rise = MIN (rise, OVER_FACTOR * MIN (caused, given));
+  return MAX (rise, 0);
+}
+
+/* Largest part of what some tail has left that the filler would use up. */
+static double
+weight (const struct hk_pacing_view *v, unsigned filler, const double *left)
+{
+  double most = 0;
+
+  for (unsigned t = 0; t < v->n_tails; t++)
+    most = MAX (most, press_at (v, filler, t) * v->fillers[filler].share
+                          / (left[t] + TINY));
+  return most;
+}
+
+static gboolean
+light (const struct hk_pacing_view *v, unsigned filler)
+{
+  for (unsigned t = 0; t < v->n_tails; t++)
+    if (press_at (v, filler, t) * v->fillers[filler].share > LIGHT)
+      return FALSE;
+  return v->over_ms < OVER_MAX_MS;
+}
+
+static void
+give (const struct hk_pacing_view *v, unsigned filler, double *left)
+{
+  struct hk_pacing_filler *f = &v->fillers[filler];
+  double heaviest = weight (v, filler, left);
+  unsigned percent = (unsigned)(100 * MIN (1.0 / MAX (heaviest, TINY), 1.0));
+
+  if (light (v, filler))
+    percent = 100;
+  if (percent < PERCENT_MIN)
+    percent = 0;
+  /* What is on its way is not known yet: only less may be given. */
+  f->percent = v->settled ? percent : MIN (percent, f->percent);
+  for (unsigned t = 0; t < v->n_tails; t++)
+    left[t] = MAX (
+        left[t] - press_at (v, filler, t) * f->share * f->percent / 100, 0);
+}
+
+void
+hk_pacing_decide (const struct hk_pacing_view *v)
+{
+  g_autofree double *left = g_new0 (double, v->n_tails + 1);
+  g_autofree double *weights = g_new0 (double, v->n_fillers + 1);
+  g_autofree gboolean *served = g_new0 (gboolean, v->n_fillers + 1);
+
+  for (unsigned t = 0; t < v->n_tails; t++)
+    left[t] = bearable (v, t);
+  for (unsigned i = 0; i < v->n_fillers; i++)
+    weights[i] = weight (v, i, left);
+  for (unsigned k = 0; k < v->n_fillers; k++)
     {
-      for (unsigned i = 0; i < n; i++)
-        fillers[i].percent = 100;
-      return;
+      unsigned next = v->n_fillers;
+
+      for (unsigned i = 0; i < v->n_fillers; i++)
+        if (!served[i] && (next == v->n_fillers || weights[i] < weights[next]))
+          next = i;
+      served[next] = TRUE;
+      give (v, next, left);
     }
-  if (room >= 0)
+}
+
+double
+hk_pacing_expect (const double *tails, const double *press, unsigned n,
+                  double share)
+{
+  double pace = 1.0;
+
+  for (unsigned t = 0; t < n; t++)
     {
-      if (!settled)
-        return;
-      bearable = MAX (caused, given) + RISE_GAIN * room;
+      double rise = MAX (press[t], PRESS_MIN) * share;
+
+      if (rise > LIGHT)
+        pace = MIN (pace, MAX (HK_PACING_AIM - tails[t], 0) / rise);
     }
-  else
-    bearable = MIN (caused, given) + room;
-  if (worst >= 1.0)
-    bearable = MIN (bearable, OVER_FACTOR * MIN (caused, given));
-  share_out (fillers, n, MAX (bearable, 0));
+  return pace;
 }
--- a/src/policy/slots.c
+++ b/src/policy/slots.c
@@ -12,31 +12,18 @@
 #define BAD_PENALTY 1e6
 /* Weight of having had a run of the same task. */
 #define AVOID_PENALTY 1e5
-/* A filler prefers an instance without serving tasks by this much, then the
-   one where it may go fastest. */
-#define SERVING_PENALTY 1.0
+/* A filler goes where it may go fastest, then where it costs least. Instances
+   without serving tasks are kept for fillers that press hard elsewhere. */
 #define PACE_WEIGHT 3.0
+#define FREE_COST 0.3
+#define ROOM_WEIGHT 0.2
 /* A filler waits rather than go slower than this. */
-#define PACE_MIN 0.3
-/* Share of its target that a tail may reach by fillers' doing. */
-#define TAIL_AIM 0.82
+#define PACE_MIN 0.5
 /* Other tasks prefer an instance with serving tasks by this much. */
 #define APART_BONUS 2.0
 /* Slowness weighs like this share of an instance's processors. */
 #define SLOWNESS_WEIGHT 0.5
 
-/* Share of its speed that a filler can expect beside what serves there. */
-static double
-pace (const struct hk_slots_view *v, const struct hk_slots_need *need)
-{
-  double share = (double)need->cpu_milli / (double)MAX (v->cpu_milli, 1);
-  double rise = v->press * share;
-
-  if (v->serving == 0 || rise <= 0)
-    return 1.0;
-  return CLAMP ((TAIL_AIM - v->worst_tail) / rise, 0.0, 1.0);
-}
-
 static gboolean
 fits (const struct hk_slots_view *v, const struct hk_slots_need *need)
 {
@@ -51,7 +38,7 @@
     return FALSE;
   if (need->fills && need->starving)
     return TRUE;
-  if (need->fills && (v->failing > FAILING_MAX || pace (v, need) < PACE_MIN))
+  if (need->fills && (v->failing > FAILING_MAX || v->pace < PACE_MIN))
     return FALSE;
   return left >= (int64_t)need->cpu_milli;
 }
@@ -67,8 +54,8 @@
   double s = left / total - SLOWNESS_WEIGHT * (v->slowness - 1.0);
 
   if (need->fills)
-    s = (double)v->fill_room_milli / total + PACE_WEIGHT * pace (v, need)
-        - (v->serving > 0 ? SERVING_PENALTY + v->press : 0)
+    s = ROOM_WEIGHT * (double)v->fill_room_milli / total
+        + PACE_WEIGHT * v->pace - (v->serving > 0 ? v->burden : FREE_COST)
         - SLOWNESS_WEIGHT * (v->slowness - 1.0);
   else if (need->lasts)
     s = (v->serving > 0 ? APART_BONUS : 0) - (double)v->cpu_free_milli / total
--- a/src/runner/runner.h
+++ b/src/runner/runner.h
@@ -98,6 +98,7 @@
   struct hk_timer hold_timer;
   struct hk_pressure pressure;
   int64_t paced_ms;
+  int64_t over_since_ms;
 
   /* the coordinator */
   uint64_t term;
--- a/src/runner/runner_pace.c
+++ b/src/runner/runner_pace.c
@@ -43,30 +43,28 @@
   return run->state == RUN_ALIVE && (run->flags & HK_STEP_FILLS);
 }
 
-/* Pressure on the serving task that it disturbs most. */
-static double
-press_of (const struct hk_runner *r, const struct runner_run *filler)
+/* Serving tasks by image, with the worst tail of each. */
+static void
+collect_tails (const struct hk_runner *r, GPtrArray *images, GArray *tails)
 {
   const struct runner_run *run;
-  double press = 0;
 
   TAILQ_FOREACH (run, &r->runs, link)
   if (serves (run))
-    press = MAX (press,
-                 hk_pressure_get (&r->pressure, run->image, filler->image));
-  return press;
-}
-
-static double
-worst_tail (const struct hk_runner *r)
-{
-  const struct runner_run *run;
-  double worst = 0;
+    {
+      double tail = (double)run->figure / run->target_ms;
+      guint i = 0;
 
-  TAILQ_FOREACH (run, &r->runs, link)
-  if (serves (run))
-    worst = MAX (worst, (double)MAX (run->figure, 1) / run->target_ms);
-  return worst;
+      while (i < images->len && strcmp (images->pdata[i], run->image) != 0)
+        i++;
+      if (i == images->len)
+        {
+          g_ptr_array_add (images, run->image);
+          g_array_append_val (tails, tail);
+        }
+      else if (tail > g_array_index (tails, double, i))
+        g_array_index (tails, double, i) = tail;
+    }
 }
 
 static void
@@ -87,30 +85,83 @@
                          on_paced, run);
 }
 
-void
-runner_pace (struct hk_runner *r, int64_t now)
+/* One line a run and report, for finding out what presses on what. */
+static void
+log_sharing (const struct hk_runner *r)
 {
-  g_autofree struct hk_pacing_filler *fillers
-      = g_new0 (struct hk_pacing_filler, r->n_runs + 1);
-  double worst = worst_tail (r);
+  const struct runner_run *run;
+
+  if (!hk_log_enabled (HK_LOG_DEBUG))
+    return;
+  TAILQ_FOREACH (run, &r->runs, link)
+  if (serves (run) || fills (run))
+    hk_log (HK_LOG_DEBUG, "pace", NULL, run->task.job,
+            "event=sharing image=%s fills=%d figure=%u target=%u pace=%u "
+            "cpu=%u",
+            run->image, fills (run), run->figure, run->target_ms, run->pace,
+            run->cpu_milli);
+}
+
+static unsigned
+collect_fillers (const struct hk_runner *r, const GPtrArray *images,
+                 struct hk_pacing_filler *fillers, double *press)
+{
+  const struct runner_run *run;
   double total = (double)MAX (r->cpu_milli, 1);
-  struct runner_run *run;
   unsigned n = 0;
 
   TAILQ_FOREACH (run, &r->runs, link)
   if (fills (run))
     {
-      struct hk_pacing_filler *f = &fillers[n++];
-
-      f->share = run->cpu_milli / total;
-      f->used = run->figure / total;
-      f->percent = run->pace;
-      f->press = press_of (r, run);
+      fillers[n].share = run->cpu_milli / total;
+      fillers[n].used = run->figure / total;
+      fillers[n].percent = run->pace;
+      for (guint t = 0; t < images->len; t++)
+        press[n * images->len + t]
+            = hk_pressure_get (&r->pressure, images->pdata[t], run->image);
+      n++;
     }
-  if (n == 0)
+  return n;
+}
+
+static int64_t
+time_over (struct hk_runner *r, const GArray *tails, int64_t now)
+{
+  gboolean over = FALSE;
+
+  for (guint t = 0; t < tails->len; t++)
+    over = over || g_array_index (tails, double, t) >= 1.0;
+  if (!over)
+    r->over_since_ms = 0;
+  else if (!r->over_since_ms)
+    r->over_since_ms = now;
+  return over ? now - r->over_since_ms : 0;
+}
+
+void
+runner_pace (struct hk_runner *r, int64_t now)
+{
+  g_autoptr (GPtrArray) images = g_ptr_array_new ();
+  g_autoptr (GArray) tails = g_array_new (FALSE, FALSE, sizeof (double));
+  g_autofree struct hk_pacing_filler *fillers
+      = g_new0 (struct hk_pacing_filler, r->n_runs + 1);
+  g_autofree double *press = NULL;
+  struct hk_pacing_view v = { .fillers = fillers };
+  struct runner_run *run;
+  unsigned n = 0;
+
+  collect_tails (r, images, tails);
+  v.over_ms = time_over (r, tails, now);
+  press = g_new0 (double, (gsize)(r->n_runs + 1) * (images->len + 1));
+  v.n_fillers = collect_fillers (r, images, fillers, press);
+  if (v.n_fillers == 0)
     return;
-  hk_pacing_decide (fillers, n, worst, now - r->paced_ms >= SETTLE_MS);
-  n = 0;
+  log_sharing (r);
+  v.press = press;
+  v.tails = (const double *)tails->data;
+  v.n_tails = tails->len;
+  v.settled = now - r->paced_ms >= SETTLE_MS;
+  hk_pacing_decide (&v);
   TAILQ_FOREACH (run, &r->runs, link)
   if (fills (run))
     order_pace (r, run, fillers[n++].percent, now);
--- a/src/util/log.c
+++ b/src/util/log.c
@@ -115,6 +115,13 @@
   return init (level, &stdout_appender);
 }
 
+gboolean
+hk_log_enabled (enum hk_log_level level)
+{
+  return category
+         && log4c_category_is_priority_enabled (category, priorities[level]);
+}
+
 void
 hk_log (enum hk_log_level level, const char *task, const char *peer,
         const char *request, const char *fmt, ...)
@@ -125,8 +132,7 @@
   g_autoptr (GDateTime) now = NULL;
   va_list ap;
 
-  if (!category
-      || !log4c_category_is_priority_enabled (category, priorities[level]))
+  if (!hk_log_enabled (level))
     return;
   va_start (ap, fmt);
   text = g_strdup_vprintf (fmt, ap);
