Drop answers of an earlier load; a new leader ends a suspicion

Change: a load carries its term; believing a new leader clears the suspicion of the old one, which had made two entries take the lead in turn.

--- a/src/coord/coord_lead.c
+++ b/src/coord/coord_lead.c
@@ -50,6 +50,8 @@
   if (l->name && strcmp (l->name, name) == 0
       && strcmp (l->address, address) == 0 && l->channel.address)
     return;
+  /* A suspicion was of the leader before. */
+  hk_timer_clear (&c->take_timer);
   disconnect (c);
   g_free (l->name);
   g_free (l->address);
--- a/src/coord/coord_load.c
+++ b/src/coord/coord_load.c
@@ -5,6 +5,14 @@
 /* Pause before a failed read is tried again, milliseconds. */
 #define LOAD_RETRY_MS 100
 
+/* One load; an answer that comes after the lead was lost and taken again
+   belongs to no load any more and may be old. */
+struct load
+{
+  struct hk_coord *c;
+  uint64_t term;
+};
+
 static void read_specs (void *user);
 
 static void
@@ -13,6 +21,22 @@
   g_bytes_unref (data);
 }
 
+static struct load *
+load_new (struct hk_coord *c)
+{
+  struct load *l = g_new0 (struct load, 1);
+
+  l->c = c;
+  l->term = c->term;
+  return l;
+}
+
+static gboolean
+load_current (const struct load *l)
+{
+  return l->c->state == COORD_LOADING && l->term == l->c->term;
+}
+
 static void
 retry (struct hk_coord *c, const struct hk_error *err)
 {
@@ -39,11 +63,12 @@
 on_progress (int rc, const struct hk_store_result *results,
              const struct hk_error *err, void *user)
 {
-  struct hk_coord *c = user;
+  g_autofree struct load *l = user;
+  struct hk_coord *c = l->c;
   int64_t now = hk_clock_ms ();
   struct hk_instance *in;
 
-  if (c->state != COORD_LOADING)
+  if (!load_current (l))
     return;
   if (rc < 0)
     {
@@ -70,9 +95,10 @@
 on_specs (int rc, const struct hk_store_result *results,
           const struct hk_error *err, void *user)
 {
-  struct hk_coord *c = user;
+  g_autofree struct load *l = user;
+  struct hk_coord *c = l->c;
 
-  if (c->state != COORD_LOADING)
+  if (!load_current (l))
     return;
   if (rc < 0)
     {
@@ -86,7 +112,8 @@
     g_hash_table_insert (
         c->loading, g_strdup (results->kvs[i].key + strlen (HK_KEY_SPECS)),
         g_bytes_new (results->kvs[i].value, results->kvs[i].len));
-  c->store->ops->range (c->store, HK_KEY_PROGRESS, TRUE, on_progress, c);
+  c->store->ops->range (c->store, HK_KEY_PROGRESS, TRUE, on_progress,
+                        load_new (c));
 }
 
 static void
@@ -95,7 +122,8 @@
   struct hk_coord *c = user;
 
   if (c->state == COORD_LOADING)
-    c->store->ops->range (c->store, HK_KEY_SPECS, TRUE, on_specs, c);
+    c->store->ops->range (c->store, HK_KEY_SPECS, TRUE, on_specs,
+                          load_new (c));
 }
 
 void
--- /dev/null
+++ b/tests/coord/test_coord.c
@@ -0,0 +1,489 @@
+/* Taking the lead, committing and recovering, against a store in memory that
+   loses, delays and reorders. */
+#include <glib.h>
+#include <string.h>
+
+#include "../support/jobs.h"
+#include "../support/memory_store.h"
+#include "hyssopkeel/coord.h"
+#include "hyssopkeel/json.h"
+#include "hyssopkeel/log.h"
+#include "hyssopkeel/rpc_channel.h"
+
+/* An agent that is played by the test. */
+struct agent
+{
+  struct hk_rpc_channel channel;
+  const char *name;
+  hk_run_report runs[8];
+  unsigned n_runs;
+  hk_run_end ends[8];
+  unsigned n_ends;
+  int answers;
+  gboolean leading;
+  uint64_t term;
+  unsigned grant_ms;
+  int starts;
+  int stops;
+  int noted;
+  unsigned last_run;
+};
+
+struct asked
+{
+  int over;
+  hk_ask_outcome outcome;
+  unsigned state;
+};
+
+static const struct hk_rpc_method sync_method
+    = { HK_COORD_SYNC, (xdrproc_t)xdr_hk_sync_args,
+        (xdrproc_t)xdr_hk_sync_reply, sizeof (hk_sync_reply) };
+
+/* Ports of the loopback, one for each process a test plays. */
+static char *
+address (void)
+{
+  static int port;
+
+  if (!port)
+    port = 20000 + g_random_int_range (0, 20000);
+  return g_strdup_printf ("127.0.0.1:%d", port++);
+}
+
+static struct hk_coord *
+start (struct memory_store *s, const char *name, char **where)
+{
+  struct hk_coord_options options = HK_COORD_OPTIONS_INIT;
+  g_autofree char *addr = address ();
+  struct hk_error err;
+  struct hk_coord *c;
+
+  options.name = name;
+  options.address = addr;
+  c = hk_coord_new (&s->base, &options);
+  g_assert_cmpint (hk_coord_start (c, &err), ==, HK_OK);
+  if (where)
+    *where = g_steal_pointer (&addr);
+  return c;
+}
+
+static gboolean
+leads (void *user)
+{
+  return hk_coord_leading (user);
+}
+
+static void
+on_asked (const hk_ask_reply *reply, void *user)
+{
+  struct asked *a = user;
+
+  a->over++;
+  a->outcome = reply->outcome;
+  a->state = reply->state;
+}
+
+static gboolean
+is_over (void *user)
+{
+  return ((struct asked *)user)->over > 0;
+}
+
+static void
+ask (struct hk_coord *c, hk_ask_kind kind, const char *id, struct asked *a)
+{
+  const unsigned counts[] = { 2, 1, 0 };
+  hk_job_spec *spec = test_job (id, counts, 0);
+  hk_ask_args args
+      = { .kind = kind, .id = (char *)id, .queue = (char *)"batch" };
+
+  memset (a, 0, sizeof *a);
+  if (kind == HK_ASK_SUBMIT)
+    {
+      args.job.job_len = 1;
+      args.job.job_val = spec;
+    }
+  hk_coord_ask (c, &args, 5000, on_asked, a);
+  test_job_free (spec);
+}
+
+static void
+on_synced (int rc, void *result, const struct hk_error *err, void *user)
+{
+  struct agent *a = user;
+  const hk_sync_reply *reply = result;
+
+  (void)err;
+  if (rc == HK_ERR_STOPPED)
+    return;
+  g_assert_cmpint (rc, ==, HK_OK);
+  a->answers++;
+  a->leading = reply->leading;
+  a->term = reply->term;
+  a->grant_ms = reply->grant_ms;
+  a->starts += (int)reply->starts.starts_len;
+  a->stops += (int)reply->stops.stops_len;
+  a->noted += (int)reply->noted.noted_len;
+  for (u_int i = 0; i < reply->starts.starts_len; i++)
+    {
+      hk_run_report *run = &a->runs[a->n_runs++];
+
+      run->task = reply->starts.starts_val[i].task;
+      run->task.job = g_strdup (run->task.job);
+      run->run = reply->starts.starts_val[i].run;
+      run->started = TRUE;
+      run->known = TRUE;
+      run->checkpoint = g_strdup ("");
+      a->last_run = run->run;
+    }
+}
+
+static gboolean
+answered (void *user)
+{
+  return ((struct agent *)user)->answers > 0;
+}
+
+static void
+sync (struct agent *a)
+{
+  hk_sync_args args = { .agent = (char *)a->name,
+                        .domain = (char *)"d",
+                        .life = (char *)"",
+                        .born_ms = 5,
+                        .described = TRUE,
+                        .pool = (char *)"pool",
+                        .cpu_milli = 4000,
+                        .memory_mb = 4000 };
+
+  args.runs.runs_len = a->n_runs;
+  args.runs.runs_val = a->runs;
+  args.ends.ends_len = a->n_ends;
+  args.ends.ends_val = a->ends;
+  a->answers = 0;
+  hk_rpc_call (&a->channel, &sync_method, &args, 3000, on_synced, a);
+  test_spin (answered, a);
+}
+
+static gboolean
+two_started (void *user)
+{
+  struct agent *a = user;
+
+  if (a->starts >= 2)
+    return TRUE;
+  sync (a);
+  return a->starts >= 2;
+}
+
+static void
+agent_init (struct agent *a, const char *name, const char *where)
+{
+  memset (a, 0, sizeof *a);
+  a->name = name;
+  hk_rpc_channel_init (&a->channel, where, HK_COORD_PROGRAM, HK_COORD_V1);
+}
+
+static void
+agent_move (struct agent *a, const char *where)
+{
+  hk_rpc_channel_finish (&a->channel);
+  hk_rpc_channel_init (&a->channel, where, HK_COORD_PROGRAM, HK_COORD_V1);
+}
+
+static void
+agent_finish (struct agent *a)
+{
+  hk_rpc_channel_finish (&a->channel);
+}
+
+static void
+accepted_means_stored (void)
+{
+  struct memory_store s;
+  struct hk_coord *c;
+  struct asked a;
+
+  memory_store_init (&s);
+  c = start (&s, "e1", NULL);
+  test_spin (leads, c);
+  ask (c, HK_ASK_SUBMIT, "1111111111111111", &a);
+  test_spin (is_over, &a);
+  g_assert_cmpint (a.outcome, ==, HK_ASK_DONE);
+  g_assert_true (memory_store_has (&s, HK_KEY_SPECS "1111111111111111"));
+  g_assert_true (memory_store_has (&s, HK_KEY_PROGRESS "1111111111111111"));
+  ask (c, HK_ASK_STATE, "1111111111111111", &a);
+  test_spin (is_over, &a);
+  g_assert_cmpuint (a.state, ==, 0);
+  ask (c, HK_ASK_STATE, "2222222222222222", &a);
+  test_spin (is_over, &a);
+  g_assert_cmpint (a.outcome, ==, HK_ASK_NOT_FOUND);
+  hk_coord_free (c);
+  memory_store_finish (&s);
+}
+
+static void
+lost_answers_of_commits_are_found (void)
+{
+  struct memory_store s;
+  struct hk_coord *c;
+  struct asked a;
+
+  memory_store_init (&s);
+  c = start (&s, "e1", NULL);
+  test_spin (leads, c);
+  s.lose_answers = 2;
+  ask (c, HK_ASK_SUBMIT, "1111111111111111", &a);
+  test_spin (is_over, &a);
+  g_assert_cmpint (a.outcome, ==, HK_ASK_DONE);
+  g_assert_true (hk_coord_leading (c));
+  hk_coord_free (c);
+  memory_store_finish (&s);
+}
+
+/* A commit that is carried out after a successor took over must not count. */
+static void
+late_commits_of_a_predecessor_fail (void)
+{
+  struct memory_store s;
+  struct hk_coord *old;
+  struct hk_coord *new;
+  struct asked a;
+  struct asked b;
+
+  memory_store_init (&s);
+  old = start (&s, "e1", NULL);
+  test_spin (leads, old);
+  s.delay_writes = 1;
+  ask (old, HK_ASK_SUBMIT, "1111111111111111", &a);
+  test_spin_for (10);
+  hk_coord_resign (old);
+  new = start (&s, "e2", NULL);
+  test_spin (leads, new);
+  memory_store_late (&s);
+  g_assert_false (memory_store_has (&s, HK_KEY_SPECS "1111111111111111"));
+  /* The question goes on to the successor, which stores it. */
+  test_spin (is_over, &a);
+  g_assert_cmpint (a.outcome, ==, HK_ASK_DONE);
+  g_assert_true (memory_store_has (&s, HK_KEY_SPECS "1111111111111111"));
+  ask (new, HK_ASK_STATE, "1111111111111111", &b);
+  test_spin (is_over, &b);
+  g_assert_cmpint (b.outcome, ==, HK_ASK_DONE);
+  hk_coord_free (old);
+  hk_coord_free (new);
+  memory_store_finish (&s);
+}
+
+static void
+nothing_starts_before_its_commit (void)
+{
+  struct memory_store s;
+  struct agent agent;
+  struct asked a;
+  g_autofree char *where = NULL;
+  struct hk_coord *c;
+
+  memory_store_init (&s);
+  c = start (&s, "e1", &where);
+  test_spin (leads, c);
+  agent_init (&agent, "a1", where);
+  sync (&agent);
+  g_assert_true (agent.leading);
+  ask (c, HK_ASK_SUBMIT, "1111111111111111", &a);
+  test_spin (is_over, &a);
+  s.down = TRUE;
+  ask (c, HK_ASK_SUBMIT, "2222222222222222", &a);
+  sync (&agent);
+  sync (&agent);
+  for (unsigned i = 0; i < agent.n_runs; i++)
+    g_assert_cmpstr (agent.runs[i].task.job, ==, "1111111111111111");
+  s.down = FALSE;
+  test_spin (is_over, &a);
+  agent_finish (&agent);
+  hk_coord_free (c);
+  memory_store_finish (&s);
+}
+
+static void
+successors_take_runs_and_ends_over (void)
+{
+  struct memory_store s;
+  struct agent agent;
+  struct asked a;
+  g_autofree char *where = NULL;
+  g_autofree char *next = NULL;
+  struct hk_coord *c;
+  struct hk_coord *successor;
+
+  memory_store_init (&s);
+  c = start (&s, "e1", &where);
+  test_spin (leads, c);
+  agent_init (&agent, "a1", where);
+  sync (&agent);
+  ask (c, HK_ASK_SUBMIT, "1111111111111111", &a);
+  test_spin (two_started, &agent);
+  hk_coord_free (c);
+  successor = start (&s, "e2", &next);
+  test_spin (leads, successor);
+  agent_move (&agent, next);
+  agent.starts = 0;
+  agent.stops = 0;
+  sync (&agent);
+  sync (&agent);
+  g_assert_cmpuint (agent.term, ==, 2);
+  g_assert_cmpint (agent.starts, ==, 0);
+  g_assert_cmpint (agent.stops, ==, 0);
+  /* One task ends; the other goes on. */
+  agent.ends[0] = (hk_run_end){ .task = agent.runs[0].task,
+                                .run = agent.runs[0].run,
+                                .how = HK_END_DONE,
+                                .checkpoint = (char *)"" };
+  agent.n_ends = 1;
+  agent.runs[0] = agent.runs[1];
+  agent.n_runs = 1;
+  agent.noted = 0;
+  while (agent.noted == 0)
+    sync (&agent);
+  g_assert_cmpint (agent.starts, ==, 0);
+  agent_finish (&agent);
+  hk_coord_free (successor);
+  memory_store_finish (&s);
+}
+
+/* Found by a hunt: a read that belonged to an earlier lead brought back old
+   records, and a task that was done was started again. */
+static void
+answers_of_an_earlier_load_are_dropped (void)
+{
+  struct memory_store s;
+  struct agent agent;
+  struct asked a;
+  g_autofree char *where = NULL;
+  g_autofree char *other_where = NULL;
+  struct hk_coord *c;
+  struct hk_coord *other;
+
+  memory_store_init (&s);
+  c = start (&s, "e1", &where);
+  test_spin (leads, c);
+  ask (c, HK_ASK_SUBMIT, "1111111111111111", &a);
+  test_spin (is_over, &a);
+  hk_coord_resign (c);
+  other = start (&s, "e2", &other_where);
+  /* The load of e2 reads while nothing has started; its answers are held. */
+  test_spin_for (1);
+  while (!hk_coord_leading (other))
+    {
+      s.hold_reads = memory_store_has (&s, HK_KEY_LEAD) && s.txns >= 3;
+      g_main_context_iteration (NULL, FALSE);
+      if (s.hold_reads && g_queue_get_length (s.held) > 0)
+        break;
+    }
+  g_assert_false (hk_coord_leading (other));
+  hk_coord_free (c);
+  s.hold_reads = FALSE;
+  c = start (&s, "e3", NULL);
+  test_spin_for (50);
+  hk_coord_free (c);
+  /* Freed while its load was open: the late answer must touch nothing. */
+  while (memory_store_release (&s))
+    continue;
+  test_spin (leads, other);
+  agent_init (&agent, "a1", other_where);
+  test_spin (two_started, &agent);
+  g_assert_cmpuint (agent.last_run, ==, 1);
+  agent_finish (&agent);
+  hk_coord_free (other);
+  memory_store_finish (&s);
+}
+
+/* Found on a day drawn by the bench: a caller was told that its job would not
+   run while the try that stored it was still open. */
+static void
+open_tries_are_never_called_refused (void)
+{
+  struct memory_store s;
+  struct asked a;
+  g_autofree char *where = NULL;
+  hk_ask_args args = { .kind = HK_ASK_SUBMIT,
+                       .id = (char *)"1111111111111111",
+                       .queue = (char *)"batch" };
+  const unsigned counts[] = { 1, 0 };
+  hk_job_spec *spec = test_job ("1111111111111111", counts, 0);
+  struct hk_coord *c;
+  struct hk_coord *follower;
+
+  memory_store_init (&s);
+  c = start (&s, "e1", &where);
+  test_spin (leads, c);
+  follower = start (&s, "e2", NULL);
+  while (!hk_coord_known (follower))
+    g_main_context_iteration (NULL, TRUE);
+  /* The commit gets no answer until after the caller has given up. */
+  s.delay_writes = 1000;
+  args.job.job_len = 1;
+  args.job.job_val = spec;
+  memset (&a, 0, sizeof a);
+  hk_coord_ask (follower, &args, 200, on_asked, &a);
+  test_spin (is_over, &a);
+  g_assert_cmpint (a.outcome, ==, HK_ASK_UNKNOWN);
+  test_job_free (spec);
+  hk_coord_free (follower);
+  hk_coord_free (c);
+  memory_store_finish (&s);
+}
+
+static void
+cancels_stop_what_runs (void)
+{
+  struct memory_store s;
+  struct agent agent;
+  struct asked a;
+  g_autofree char *where = NULL;
+  struct hk_coord *c;
+
+  memory_store_init (&s);
+  c = start (&s, "e1", &where);
+  test_spin (leads, c);
+  agent_init (&agent, "a1", where);
+  sync (&agent);
+  ask (c, HK_ASK_SUBMIT, "1111111111111111", &a);
+  test_spin (two_started, &agent);
+  ask (c, HK_ASK_CANCEL, "1111111111111111", &a);
+  test_spin (is_over, &a);
+  g_assert_cmpint (a.outcome, ==, HK_ASK_DONE);
+  agent.stops = 0;
+  for (int i = 0; i < 5 && agent.stops < 2; i++)
+    sync (&agent);
+  g_assert_cmpint (agent.stops, >=, 2);
+  ask (c, HK_ASK_STATE, "1111111111111111", &a);
+  test_spin (is_over, &a);
+  g_assert_cmpuint (a.state, ==, 4);
+  agent_finish (&agent);
+  hk_coord_free (c);
+  memory_store_finish (&s);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  if (g_test_verbose ())
+    hk_log_init ("info");
+  g_test_add_func ("/coord/accepted_means_stored", accepted_means_stored);
+  g_test_add_func ("/coord/lost_answers_of_commits_are_found",
+                   lost_answers_of_commits_are_found);
+  g_test_add_func ("/coord/late_commits_of_a_predecessor_fail",
+                   late_commits_of_a_predecessor_fail);
+  g_test_add_func ("/coord/nothing_starts_before_its_commit",
+                   nothing_starts_before_its_commit);
+  g_test_add_func ("/coord/successors_take_runs_and_ends_over",
+                   successors_take_runs_and_ends_over);
+  g_test_add_func ("/coord/answers_of_an_earlier_load_are_dropped",
+                   answers_of_an_earlier_load_are_dropped);
+  g_test_add_func ("/coord/open_tries_are_never_called_refused",
+                   open_tries_are_never_called_refused);
+  g_test_add_func ("/coord/cancels_stop_what_runs", cancels_stop_what_runs);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/support/jobs.c
@@ -0,0 +1,91 @@
+/* Submissions for tests. */
+#include "jobs.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "hyssopkeel/clock.h"
+#include "hyssopkeel/timer.h"
+
+static void
+tick (void *user)
+{
+  hk_timer_set (user, 5, tick, user);
+}
+
+void
+test_spin (gboolean (*done) (void *user), void *user)
+{
+  int64_t limit = hk_clock_ms () + TEST_LIMIT_MS;
+  struct hk_timer timer = { 0 };
+
+  tick (&timer);
+  while (!done (user))
+    {
+      g_assert_cmpint (hk_clock_ms (), <, limit);
+      g_main_context_iteration (NULL, TRUE);
+    }
+  hk_timer_clear (&timer);
+}
+
+static gboolean
+passed (void *user)
+{
+  return hk_clock_ms () >= *(int64_t *)user;
+}
+
+void
+test_spin_for (int64_t ms)
+{
+  int64_t until = hk_clock_ms () + ms;
+
+  test_spin (passed, &until);
+}
+
+hk_job_spec *
+test_job (const char *id, const unsigned *counts, unsigned flags)
+{
+  hk_job_spec *spec = calloc (1, sizeof *spec);
+  unsigned n = 0;
+
+  while (counts[n])
+    n++;
+  spec->id = strdup (id);
+  spec->queue = strdup ("batch");
+  spec->pool = strdup ("pool");
+  spec->urgency = 1;
+  spec->max_attempts = 3;
+  spec->stretch_milli = 2000;
+  spec->target_ms = 1000;
+  spec->payload.payload_val = strdup ("text");
+  spec->payload.payload_len = 4;
+  spec->steps.steps_val = calloc (n, sizeof (hk_step_spec));
+  spec->steps.steps_len = n;
+  for (unsigned i = 0; i < n; i++)
+    {
+      hk_step_spec *step = &spec->steps.steps_val[i];
+
+      step->count = counts[i];
+      step->cpu_milli = 1000;
+      step->memory_mb = 100;
+      step->estimate_ms = 1000;
+      step->flags = flags;
+      step->label = strdup ("");
+      step->rack = strdup ("");
+      step->image = strdup ("");
+      if (i > 0)
+        {
+          step->after.after_val = calloc (1, sizeof (u_int));
+          step->after.after_val[0] = i - 1;
+          step->after.after_len = 1;
+        }
+    }
+  return spec;
+}
+
+void
+test_job_free (hk_job_spec *spec)
+{
+  xdr_free ((xdrproc_t)xdr_hk_job_spec, (char *)spec);
+  free (spec);
+}
--- /dev/null
+++ b/tests/support/memory_store.c
@@ -0,0 +1,333 @@
+/* A store in memory that answers from the main loop, and misbehaves on
+   command. */
+#include "memory_store.h"
+
+#include <string.h>
+
+struct item
+{
+  char *value;
+  size_t len;
+  int64_t revision;
+};
+
+/* A call whose answer waits. */
+struct memory_call
+{
+  struct memory_store *s;
+  int rc;
+  gboolean succeeded;
+  int64_t revision;
+  GArray *kvs;
+  hk_store_done done;
+  void *user;
+};
+
+struct delayed
+{
+  struct hk_store_txn txn;
+  GPtrArray *texts;
+};
+
+static void
+free_item (gpointer data)
+{
+  struct item *item = data;
+
+  g_free (item->value);
+  g_free (item);
+}
+
+static int
+compare (gconstpointer a, gconstpointer b, gpointer unused)
+{
+  (void)unused;
+  return strcmp (a, b);
+}
+
+static void
+clear_kv (gpointer data)
+{
+  struct hk_store_kv *kv = data;
+
+  g_free (kv->key);
+  g_free (kv->value);
+}
+
+static struct memory_call *
+new_call (struct memory_store *s, hk_store_done done, void *user)
+{
+  struct memory_call *call = g_new0 (struct memory_call, 1);
+
+  call->s = s;
+  call->done = done;
+  call->user = user;
+  call->kvs = g_array_new (FALSE, TRUE, sizeof (struct hk_store_kv));
+  g_array_set_clear_func (call->kvs, clear_kv);
+  return call;
+}
+
+static gboolean
+answer (gpointer data)
+{
+  struct memory_call *call = data;
+  struct hk_store_result result
+      = { .revision = call->revision,
+          .succeeded = call->succeeded,
+          .kvs = (struct hk_store_kv *)call->kvs->data,
+          .n_kvs = call->kvs->len };
+  struct hk_error err = { 0 };
+
+  if (call->rc < 0)
+    hk_error_set (&err, call->rc, "store", "memory", "fault on command");
+  call->done (call->rc, &result, &err, call->user);
+  g_array_unref (call->kvs);
+  g_free (call);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+add_item (struct memory_call *call, const char *key, const struct item *item)
+{
+  struct hk_store_kv kv = { .key = g_strdup (key),
+                            .len = item->len,
+                            .mod_revision = item->revision };
+
+  kv.value = g_malloc0 (item->len + 1);
+  memcpy (kv.value, item->value, item->len);
+  g_array_append_val (call->kvs, kv);
+}
+
+struct scan
+{
+  struct memory_call *call;
+  const char *prefix;
+};
+
+static gboolean
+scan_one (gpointer key, gpointer value, gpointer data)
+{
+  struct scan *scan = data;
+
+  if (g_str_has_prefix (key, scan->prefix))
+    add_item (scan->call, key, value);
+  return FALSE;
+}
+
+static void
+store_range (struct hk_store *base, const char *key, gboolean prefix,
+             hk_store_done done, void *user)
+{
+  struct memory_store *s = (struct memory_store *)base;
+  struct memory_call *call = new_call (s, done, user);
+  struct scan scan = { call, key };
+  const struct item *item;
+
+  call->revision = s->revision;
+  if (s->down)
+    call->rc = HK_ERR_UNAVAILABLE;
+  else if (prefix)
+    g_tree_foreach (s->keys, scan_one, &scan);
+  else if ((item = g_tree_lookup (s->keys, key)))
+    add_item (call, key, item);
+  if (s->hold_reads)
+    g_queue_push_tail (s->held, call);
+  else
+    g_idle_add (answer, call);
+}
+
+static gboolean
+holds (const struct memory_store *s, const struct hk_store_compare *c)
+{
+  const struct item *item = g_tree_lookup (s->keys, c->key);
+
+  return (item ? item->revision : 0) == c->mod_revision;
+}
+
+static gboolean
+apply (struct memory_store *s, const struct hk_store_txn *txn)
+{
+  for (size_t i = 0; i < txn->n_compares; i++)
+    if (!holds (s, &txn->compares[i]))
+      return FALSE;
+  s->revision++;
+  s->txns++;
+  for (size_t i = 0; i < txn->n_then; i++)
+    {
+      const struct hk_store_op *op = &txn->then[i];
+      struct item *item;
+
+      if (op->type == HK_STORE_DELETE)
+        {
+          g_tree_remove (s->keys, op->key);
+          continue;
+        }
+      item = g_new0 (struct item, 1);
+      item->len = op->len ? op->len : strlen (op->value);
+      item->value = g_malloc0 (item->len + 1);
+      memcpy (item->value, op->value, item->len);
+      item->revision = s->revision;
+      g_tree_replace (s->keys, g_strdup (op->key), item);
+    }
+  return TRUE;
+}
+
+static const char *
+keep (struct delayed *d, const char *bytes, size_t len)
+{
+  char *copy;
+
+  if (!bytes)
+    return NULL;
+  copy = g_malloc0 (len + 1);
+  memcpy (copy, bytes, len);
+  g_ptr_array_add (d->texts, copy);
+  return copy;
+}
+
+static void
+delay (struct memory_store *s, const struct hk_store_txn *txn)
+{
+  struct delayed *d = g_new0 (struct delayed, 1);
+
+  d->txn = *txn;
+  d->texts = g_ptr_array_new_with_free_func (g_free);
+  for (size_t i = 0; i < txn->n_compares; i++)
+    d->txn.compares[i].key
+        = keep (d, txn->compares[i].key, strlen (txn->compares[i].key));
+  for (size_t i = 0; i < txn->n_then; i++)
+    {
+      const struct hk_store_op *op = &txn->then[i];
+
+      d->txn.then[i].key = keep (d, op->key, strlen (op->key));
+      d->txn.then[i].value
+          = keep (d, op->value,
+                  op->len || !op->value ? op->len : strlen (op->value));
+    }
+  g_queue_push_tail (s->late, d);
+}
+
+static void
+store_batch (struct hk_store *base, const struct hk_store_txn *txns, size_t n,
+             hk_store_done done, void *user)
+{
+  struct memory_store *s = (struct memory_store *)base;
+  struct memory_call *call = new_call (s, done, user);
+
+  g_assert_cmpuint (n, ==, 1);
+  if (s->down)
+    call->rc = HK_ERR_UNAVAILABLE;
+  else if (s->delay_writes > 0)
+    {
+      s->delay_writes--;
+      delay (s, &txns[0]);
+      call->rc = HK_ERR_TIMEOUT;
+    }
+  else
+    {
+      call->succeeded = apply (s, &txns[0]);
+      call->revision = s->revision;
+      if (!call->succeeded)
+        for (size_t i = 0; i < txns[0].n_compares; i++)
+          {
+            const struct item *item
+                = g_tree_lookup (s->keys, txns[0].compares[i].key);
+
+            if (item)
+              add_item (call, txns[0].compares[i].key, item);
+          }
+      if (s->lose_answers > 0)
+        {
+          s->lose_answers--;
+          call->rc = HK_ERR_TIMEOUT;
+        }
+    }
+  g_idle_add (answer, call);
+}
+
+/* Watches never fire: everything must also work by reads and pings. */
+struct hk_store_watch
+{
+  int unused;
+};
+
+static struct hk_store_watch *
+store_watch (struct hk_store *base, const char *prefix, int64_t from,
+             const struct hk_store_watch_ops *ops, void *user)
+{
+  (void)base;
+  (void)prefix;
+  (void)from;
+  (void)ops;
+  (void)user;
+  return g_new0 (struct hk_store_watch, 1);
+}
+
+static void
+store_unwatch (struct hk_store_watch *w)
+{
+  g_free (w);
+}
+
+static const struct hk_store_ops ops = { .range = store_range,
+                                         .batch = store_batch,
+                                         .watch = store_watch,
+                                         .unwatch = store_unwatch };
+
+void
+memory_store_init (struct memory_store *s)
+{
+  memset (s, 0, sizeof *s);
+  s->base.ops = &ops;
+  s->keys = g_tree_new_full (compare, NULL, g_free, free_item);
+  s->held = g_queue_new ();
+  s->late = g_queue_new ();
+}
+
+static void
+free_delayed (gpointer data)
+{
+  struct delayed *d = data;
+
+  g_ptr_array_unref (d->texts);
+  g_free (d);
+}
+
+void
+memory_store_finish (struct memory_store *s)
+{
+  while (memory_store_release (s))
+    continue;
+  g_queue_free (s->held);
+  g_queue_free_full (s->late, free_delayed);
+  g_tree_unref (s->keys);
+}
+
+gboolean
+memory_store_release (struct memory_store *s)
+{
+  struct memory_call *call = g_queue_pop_head (s->held);
+
+  if (!call)
+    return FALSE;
+  answer (call);
+  return TRUE;
+}
+
+void
+memory_store_late (struct memory_store *s)
+{
+  struct delayed *d;
+
+  while ((d = g_queue_pop_head (s->late)))
+    {
+      apply (s, &d->txn);
+      free_delayed (d);
+    }
+}
+
+gboolean
+memory_store_has (const struct memory_store *s, const char *key)
+{
+  return g_tree_lookup (s->keys, key) != NULL;
+}
