The stronger entry leads

Cause: on the grown sites some entries have an eighth of a core and 10 Mbit/s; any of them could become coordinator. Change: a process knows its strength (processor share, bandwidth); the weaker wait longer before they take the lead, and a much weaker leader is replaced after a tenure.

--- a/include/hyssopkeel/coord.h
+++ b/include/hyssopkeel/coord.h
@@ -13,8 +13,8 @@
  * @address: "ip:port" at which the others reach its RPC server.
  * @authority: durations of grants and holds.
  * @keep_ended_ms: how long the state of an ended job is kept.
- * @leave_ms: least time a draining instance has left that is used for moving
- *            its work away.
+ * @strength: processor and bandwidth of this machine, as a share of what a
+ *            coordinator should have, percent; the stronger leads.
  */
 struct hk_coord_options
 {
@@ -22,12 +22,13 @@
   const char *address;
   struct hk_authority authority;
   int64_t keep_ended_ms;
+  unsigned strength;
 };
 
 #define HK_COORD_OPTIONS_INIT                                                 \
   {                                                                           \
     .authority = { .own_ms = 12000, .grant_ms = 2500, .hold_ms = 4000 },      \
-    .keep_ended_ms = 150000                                                   \
+    .keep_ended_ms = 150000, .strength = 100                                  \
   }
 
 /**
--- a/include/hyssopkeel/hk_job_xdr.h
+++ b/include/hyssopkeel/hk_job_xdr.h
@@ -275,6 +275,7 @@
 	bool_t resigning;
 	u_quad_t term;
 	u_int store_age_ms;
+	u_int strength;
 };
 typedef struct hk_ping_reply hk_ping_reply;
 
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -83,6 +83,7 @@
   reply.leading = c->state == COORD_LEADING || c->state == COORD_LOADING;
   reply.resigning = c->resigned;
   reply.term = c->term;
+  reply.strength = c->strength;
   if (c->commit.confirmed_ms > 0)
     reply.store_age_ms = (u_int)MAX (now - c->commit.confirmed_ms, 0);
   hk_rpc_reply (req, &reply);
@@ -106,6 +107,7 @@
   c->address = g_strdup (options->address);
   c->authority = options->authority;
   c->keep_ended_ms = options->keep_ended_ms;
+  c->strength = MIN (options->strength, COORD_STRENGTH_FULL);
   LIST_INIT (&c->questions);
   hk_engine_init (&c->engine);
   coord_commit_init (c);
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -14,6 +14,9 @@
 #include "hyssopkeel/rpc_server.h"
 #include "hyssopkeel/timer.h"
 
+/* More strength than this makes no better coordinator, percent. */
+#define COORD_STRENGTH_FULL 100
+
 enum coord_state
 {
   COORD_FOLLOWING,
@@ -97,6 +100,7 @@
   char *address;
   struct hk_authority authority;
   int64_t keep_ended_ms;
+  unsigned strength;
 
   enum coord_state state;
   uint64_t term;
--- a/src/coord/coord_lead.c
+++ b/src/coord/coord_lead.c
@@ -11,6 +11,10 @@
 #define PINGS_MISSED_MAX 2
 /* Candidates wait a random time up to this, so that mostly one tries. */
 #define TAKE_SPREAD_MS 60
+/* They wait this much longer for each percent of strength that they lack. */
+#define TAKE_WEAK_MS 4
+/* A leader that is weaker than this share of a follower is replaced. */
+#define WEAK_PERCENT 60
 /* Time between tries while the store does not answer. */
 #define TAKE_RETRY_MS 250
 /* A leader whose commits fail for this long is replaced by one whose own
@@ -221,6 +225,14 @@
   c->store->ops->range (c->store, HK_KEY_LEAD, FALSE, on_lead_read, read);
 }
 
+/* The weaker wait longer, so that a strong machine leads if one lives. */
+static int64_t
+take_delay (const struct hk_coord *c)
+{
+  return g_random_int_range (0, TAKE_SPREAD_MS)
+         + (COORD_STRENGTH_FULL - c->strength) * TAKE_WEAK_MS;
+}
+
 void
 coord_suspect (struct hk_coord *c, const char *why)
 {
@@ -231,8 +243,7 @@
           " missed=%u",
           why, c->leader.term, c->leader.missed);
   c->leader.connected = FALSE;
-  hk_timer_set (&c->take_timer, g_random_int_range (0, TAKE_SPREAD_MS),
-                on_take_due, c);
+  hk_timer_set (&c->take_timer, take_delay (c), on_take_due, c);
 }
 
 /* Pings */
@@ -259,6 +270,9 @@
       if (reply->store_age_ms > STORE_AGE_MAX_MS
           && now - l->believed_ms > TENURE_MIN_MS)
         coord_suspect (c, "its commits fail");
+      else if (reply->strength * 100 < c->strength * WEAK_PERCENT
+               && now - l->believed_ms > TENURE_MIN_MS && !c->resigned)
+        coord_suspect (c, "it is much weaker");
       return;
     }
   if (rc == HK_OK)
--- a/src/rpc/hk_job.x
+++ b/src/rpc/hk_job.x
@@ -203,6 +203,7 @@
   bool resigning;
   unsigned hyper term;
   unsigned store_age_ms;
+  unsigned strength;
 };
 
 program HK_COORD_PROGRAM {
--- a/src/rpc/hk_job_xdr.c
+++ b/src/rpc/hk_job_xdr.c
@@ -929,5 +929,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->store_age_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->strength))
+		 return FALSE;
 	return TRUE;
 }
