Agents and clients leave a coordinator that is cut off

Change: answers to agents say when commits fail, and agents then look for a successor; a process that hears from neither store nor peers is not ready, shows no states and refuses at once with a short Retry-After. Jobs that the work before them leaves no time for stand back (rank of fillers); what is nearly done goes first.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -118,7 +118,9 @@
  * @stored_spec: the text is in the store.
  * @sent_live: the commit on its way keeps the text.
  * @shown: state by the last commit, which callers are shown.
- * @runs: runs alive.
+ * @n_runs: runs alive.
+ * @order_class: what can still be made of it; see hk_order_class().
+ * @order_key: its place in the order of work at the last pass.
  * @user: list of callers that wait for a commit; owned by the coordinator.
  */
 struct hk_engine_job
@@ -141,6 +143,8 @@
   unsigned n_tasks;
   unsigned n_runs;
   struct hk_engine_step *steps;
+  unsigned order_class;
+  double order_key;
   gboolean dirty;
   void *user;
   TAILQ_ENTRY (hk_engine_job) dirty_link;
--- a/include/hyssopkeel/hk_job_xdr.h
+++ b/include/hyssopkeel/hk_job_xdr.h
@@ -206,6 +206,7 @@
 
 struct hk_sync_reply {
 	bool_t leading;
+	bool_t doubtful;
 	u_quad_t term;
 	u_int grant_ms;
 	struct {
--- a/include/hyssopkeel/order.h
+++ b/include/hyssopkeel/order.h
@@ -14,6 +14,9 @@
  * @age_ms: time since it was accepted.
  * @objective_ms: time in which it should be done.
  * @remaining_ms: longest chain of run time that is left.
+ * @work: whole work of the job, processors times milliseconds.
+ * @remaining_work: what is left of it.
+ * @mean_work: of the jobs of its queue.
  */
 struct hk_order_view
 {
@@ -22,8 +25,21 @@
   int64_t age_ms;
   int64_t objective_ms;
   int64_t remaining_ms;
+  double work;
+  double remaining_work;
+  double mean_work;
 };
 
+enum hk_order_class
+{
+  HK_ORDER_IN_TIME,
+  HK_ORDER_LATE,
+  HK_ORDER_HOPELESS
+};
+
+/** hk_order_class() - what can still be made of a job. */
+enum hk_order_class hk_order_class (const struct hk_order_view *v);
+
 /**
  * hk_order_key() - place of a job in the order of work.
  * @v: job.
@@ -32,9 +48,6 @@
  */
 double hk_order_key (const struct hk_order_view *v);
 
-/** hk_order_hopeless() - whether a job can earn nothing any more. */
-gboolean hk_order_hopeless (const struct hk_order_view *v);
-
 /**
  * struct hk_admission_view - load that a new job meets.
  * @backlog_core_ms: work that is left of jobs that come before it.
--- a/include/hyssopkeel/pacing.h
+++ b/include/hyssopkeel/pacing.h
@@ -5,7 +5,7 @@
 #include <stdint.h>
 
 /** Share of its target that a tail may reach by the fillers' doing. */
-#define HK_PACING_AIM 0.82
+#define HK_PACING_AIM 0.78
 
 /**
  * struct hk_pacing_filler - a task that fills, beside serving tasks.
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -4,6 +4,8 @@
 /* Period of the checks that no event triggers, milliseconds: well below the
    shortest time-out that they serve. */
 #define TICK_MS 100
+/* Longer than a takeover takes; then callers are sent to another process. */
+#define CUT_OFF_MS 1000
 
 int64_t
 coord_wall_ms (void)
@@ -80,6 +82,7 @@
   hk_ping_reply reply = { 0 };
 
   (void)args;
+  c->pinged_ms = now;
   reply.leading = c->state == COORD_LEADING || c->state == COORD_LOADING;
   reply.resigning = c->resigned;
   reply.term = c->term;
@@ -155,6 +158,7 @@
   coord_commit_finish (c);
   hk_engine_finish (&c->engine);
   g_hash_table_unref (c->estimates);
+  g_hash_table_unref (c->mean_work);
   hk_pressure_finish (&c->pressure);
   g_free (c->name);
   g_free (c->address);
@@ -163,6 +167,16 @@
     g_free (c);
 }
 
+/* Whether this process can serve nobody for now: as leader, neither the store
+   nor a follower is heard from; as follower, no leader. */
+gboolean
+coord_cut_off (const struct hk_coord *c, int64_t now)
+{
+  if (c->state == COORD_LEADING || c->state == COORD_LOADING)
+    return coord_store_failing (c, now) && now - c->pinged_ms > CUT_OFF_MS;
+  return c->leader_lost_ms && now - c->leader_lost_ms > CUT_OFF_MS;
+}
+
 gboolean
 hk_coord_leading (const struct hk_coord *c)
 {
@@ -172,8 +186,8 @@
 gboolean
 hk_coord_known (const struct hk_coord *c)
 {
-  if (c->resigned)
+  if (c->resigned || coord_cut_off (c, hk_clock_ms ()))
     return FALSE;
-  return c->state == COORD_LEADING
-         || (c->state == COORD_FOLLOWING && c->leader.connected);
+  return c->state == COORD_LEADING || c->leader.connected
+         || (c->leader.name && c->leader_lost_ms);
 }
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -115,6 +115,8 @@
   int64_t watch_from;
   int64_t store_heard_ms;
   int64_t taken_over_ms;
+  int64_t pinged_ms;      /* a follower asked */
+  int64_t leader_lost_ms; /* 0 while a leader answers */
   struct hk_timer watch_retry;
   struct hk_timer ping_timer;
   struct hk_timer take_timer;
@@ -128,6 +130,7 @@
   GHashTable *loading;
   struct hk_rpc_server server;
   GHashTable *estimates;
+  GHashTable *mean_work;
   struct hk_pressure pressure;
   LIST_HEAD (, coord_question) questions;
   int64_t tick_count;
@@ -189,10 +192,12 @@
                   int64_t now);
 int64_t coord_estimate_ms (struct hk_coord *c,
                            const struct hk_engine_step *step);
+double coord_fill_rate (const struct hk_coord *c);
 gboolean coord_admit (struct hk_coord *c, const hk_job_spec *spec,
                       unsigned *retry_after_s, const char **reason);
 
 /* coord.c */
+gboolean coord_cut_off (const struct hk_coord *c, int64_t now);
 gboolean coord_call_over (struct hk_coord *c);
 void coord_kick (struct hk_coord *c);
 int64_t coord_wall_ms (void);
--- a/src/coord/coord_ask.c
+++ b/src/coord/coord_ask.c
@@ -8,7 +8,11 @@
 #define RETRY_MS 60
 /* Longest time one try may take; a silent connection is found by then. */
 #define TRY_MS 1500
+/* Outages of the store take seconds. */
 #define STORE_RETRY_AFTER_S 2
+/* Another process can serve once the balancer has found this one out; sooner,
+   the tries of a caller would all end here. */
+#define ELSEWHERE_RETRY_AFTER_S 1
 
 struct coord_question
 {
@@ -148,7 +152,8 @@
       if (coord_store_failing (c, now))
         {
           reason = "the store does not answer";
-          retry_after_s = STORE_RETRY_AFTER_S;
+          retry_after_s = coord_cut_off (c, now) ? ELSEWHERE_RETRY_AFTER_S
+                                                 : STORE_RETRY_AFTER_S;
         }
       if (reason || !coord_admit (c, spec, &retry_after_s, &reason))
         {
@@ -179,6 +184,13 @@
       reply_now (done, user, HK_ASK_NOT_FOUND, "no such job", 0);
       return;
     }
+  if (hk_engine_wants (job) && coord_store_failing (c, hk_clock_ms ()))
+    {
+      reply_now (done, user, HK_ASK_REFUSED, "the store does not answer",
+                 coord_cut_off (c, hk_clock_ms ()) ? ELSEWHERE_RETRY_AFTER_S
+                                                   : STORE_RETRY_AFTER_S);
+      return;
+    }
   if (hk_engine_wants (job))
     {
       hk_log (HK_LOG_INFO, "coord", NULL, args->id,
@@ -220,6 +232,13 @@
       reply_now (done, user, HK_ASK_NOT_LEADING, "does not lead", 0);
       return;
     }
+  /* A successor may lead by now: what is known here is not shown. */
+  if (args->kind != HK_ASK_SUBMIT && coord_cut_off (c, hk_clock_ms ()))
+    {
+      reply_now (done, user, HK_ASK_REFUSED, "this process is cut off",
+                 ELSEWHERE_RETRY_AFTER_S);
+      return;
+    }
   switch (args->kind)
     {
     case HK_ASK_SUBMIT:
@@ -283,7 +302,7 @@
     {
       reply.outcome = HK_ASK_REFUSED;
       reply.reason = "no coordinator can be reached";
-      reply.retry_after_s = 1;
+      reply.retry_after_s = ELSEWHERE_RETRY_AFTER_S;
     }
   else
     reply.reason = "the coordinator did not answer in time";
@@ -300,7 +319,9 @@
   int64_t now = hk_clock_ms ();
 
   if (now >= q->deadline_ms
-      || (!q->delivered && !q->busy && now - q->asked_ms >= UNDELIVERED_MS))
+      || (!q->delivered && !q->busy
+          && (now - q->asked_ms >= UNDELIVERED_MS
+              || coord_cut_off (q->c, now))))
     give_up (q);
   else
     try_question (q);
@@ -409,7 +430,7 @@
 static void
 on_first_try (void *user)
 {
-  try_question (user);
+  on_timer (user);
 }
 
 void
--- a/src/coord/coord_lead.c
+++ b/src/coord/coord_lead.c
@@ -121,6 +121,7 @@
       c->commit.failing_since_ms = 0;
       c->taken_over_ms = hk_clock_ms ();
       c->state = COORD_LOADING;
+      c->leader_lost_ms = 0;
       l->lead_rev = 0;
       believe (c, c->name, c->address, c->term, results->revision);
       hk_log (HK_LOG_INFO, "coord", NULL, NULL,
@@ -243,6 +244,8 @@
           " missed=%u",
           why, c->leader.term, c->leader.missed);
   c->leader.connected = FALSE;
+  if (!c->leader_lost_ms)
+    c->leader_lost_ms = hk_clock_ms ();
   hk_timer_set (&c->take_timer, take_delay (c), on_take_due, c);
 }
 
@@ -264,6 +267,7 @@
       if (!l->connected)
         {
           l->connected = TRUE;
+          c->leader_lost_ms = 0;
           coord_questions_retry (c);
         }
       l->missed = 0;
--- a/src/coord/coord_learn.c
+++ b/src/coord/coord_learn.c
@@ -26,6 +26,8 @@
 {
   c->estimates
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  c->mean_work
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
 
 /* Tasks of one image behave alike; without an image, those of one queue. */
@@ -130,17 +132,6 @@
   return chain_ms * MAX (spec->stretch_milli, 1000) / 1000 + spec->target_ms;
 }
 
-void
-coord_order_view (struct hk_coord *c, const struct hk_engine_job *job,
-                  int64_t now, struct hk_order_view *out)
-{
-  out->urgency = job->spec.urgency;
-  out->lasts = lasts (job);
-  out->age_ms = now - job->accepted_ms;
-  out->objective_ms = objective (&job->spec, whole_chain (c, job));
-  out->remaining_ms = remaining_chain (c, job);
-}
-
 /* Work that is left, processors times milliseconds. */
 static double
 work_left (struct hk_coord *c, const struct hk_engine_job *job)
@@ -161,6 +152,59 @@
   return work;
 }
 
+static double
+whole_work (struct hk_coord *c, const hk_job_spec *spec)
+{
+  struct hk_engine_job probe = { .spec = *spec };
+  struct hk_engine_step step = { .job = &probe };
+  double work = 0;
+
+  for (unsigned i = 0; i < spec->steps.steps_len; i++)
+    {
+      step.spec = &spec->steps.steps_val[i];
+      work += (double)coord_estimate_ms (c, &step) * step.spec->count
+              * step.spec->cpu_milli / 1000.0;
+    }
+  return work;
+}
+
+static double
+mean_work (struct hk_coord *c, const char *queue)
+{
+  const double *mean = g_hash_table_lookup (c->mean_work, queue);
+
+  return mean ? *mean : 0;
+}
+
+/* Every job that comes is a sample, whether it is taken or not. */
+static void
+learn_work (struct hk_coord *c, const char *queue, double work)
+{
+  double *mean = g_hash_table_lookup (c->mean_work, queue);
+
+  if (!mean)
+    {
+      mean = g_new0 (double, 1);
+      *mean = work;
+      g_hash_table_insert (c->mean_work, g_strdup (queue), mean);
+    }
+  *mean += LEARN_WEIGHT * (work - *mean);
+}
+
+void
+coord_order_view (struct hk_coord *c, const struct hk_engine_job *job,
+                  int64_t now, struct hk_order_view *out)
+{
+  out->urgency = job->spec.urgency;
+  out->lasts = lasts (job);
+  out->age_ms = now - job->accepted_ms;
+  out->objective_ms = objective (&job->spec, whole_chain (c, job));
+  out->remaining_ms = remaining_chain (c, job);
+  out->work = whole_work (c, &job->spec);
+  out->remaining_work = work_left (c, job);
+  out->mean_work = mean_work (c, job->spec.queue);
+}
+
 static gboolean
 fills (const hk_job_spec *spec)
 {
@@ -169,8 +213,8 @@
 
 /* Processors that fillers can use now, at the pace that those that run have.
  */
-static double
-fill_rate (const struct hk_coord *c)
+double
+coord_fill_rate (const struct hk_coord *c)
 {
   const struct hk_instance *in;
   const struct hk_run *run;
@@ -207,6 +251,8 @@
   struct hk_engine_job probe = { .spec = *spec };
   int64_t now = hk_clock_ms ();
 
+  v.work_core_ms = whole_work (c, spec);
+  learn_work (c, spec->queue, v.work_core_ms);
   if (!fills (spec))
     return TRUE;
   step.job = &probe;
@@ -225,10 +271,10 @@
     if (!fills (&job->spec))
       continue;
     coord_order_view (c, job, now, &order);
-    if (!hk_order_hopeless (&order))
+    if (hk_order_class (&order) != HK_ORDER_HOPELESS)
       v.backlog_core_ms += work_left (c, job);
   }
-  v.rate_cores = fill_rate (c);
+  v.rate_cores = coord_fill_rate (c);
   v.objective_ms = objective (spec, v.chain_ms);
   *reason = "the backlog would make it late";
   if (hk_admission_decide (&v, retry_after_s))
--- a/src/coord/coord_schedule.c
+++ b/src/coord/coord_schedule.c
@@ -17,6 +17,8 @@
 struct candidate
 {
   struct hk_engine_job *job;
+  struct hk_order_view view;
+  gboolean fills;
   double key;
 };
 
@@ -176,28 +178,66 @@
   return x->key < y->key ? -1 : x->key > y->key;
 }
 
+static gboolean
+has_waiting (const struct hk_engine_job *job)
+{
+  for (unsigned i = 0; i < job->spec.steps.steps_len; i++)
+    if (job->steps[i].waiting > 0)
+      return TRUE;
+  return FALSE;
+}
+
+/* Fillers share what is left of the instances: in their order, each job is in
+   time only if the work before it leaves enough for it. The others stand
+   back, so that some are done in time rather than all late. */
+static void
+rank_fillers (struct hk_coord *c, GArray *list)
+{
+  double rate = MAX (coord_fill_rate (c), 1.0);
+  double before = 0;
+
+  for (guint i = 0; i < list->len; i++)
+    {
+      struct candidate *cand = &g_array_index (list, struct candidate, i);
+      struct hk_order_view *v = &cand->view;
+
+      if (!cand->fills || hk_order_class (v) != HK_ORDER_IN_TIME)
+        continue;
+      v->remaining_ms = MAX (v->remaining_ms,
+                             (int64_t)((before + v->remaining_work) / rate));
+      if (hk_order_class (v) == HK_ORDER_IN_TIME)
+        before += v->remaining_work;
+      cand->key = hk_order_key (v);
+    }
+}
+
 void
 coord_schedule (struct hk_coord *c, int64_t now)
 {
   g_autoptr (GArray) list
-      = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+      = g_array_new (FALSE, TRUE, sizeof (struct candidate));
   struct hk_engine_job *job;
 
   TAILQ_FOREACH (job, &c->engine.active, link)
   {
     struct candidate cand = { .job = job };
-    struct hk_order_view view;
-    gboolean waiting = FALSE;
 
-    for (unsigned i = 0; i < job->spec.steps.steps_len && !waiting; i++)
-      waiting = job->steps[i].waiting > 0;
-    if (!waiting)
-      continue;
-    coord_order_view (c, job, now, &view);
-    cand.key = hk_order_key (&view);
+    coord_order_view (c, job, now, &cand.view);
+    cand.key = hk_order_key (&cand.view);
+    cand.fills = (job->steps[0].spec->flags & HK_STEP_FILLS) != 0;
     g_array_append_val (list, cand);
   }
   qsort (list->data, list->len, sizeof (struct candidate), by_key);
+  rank_fillers (c, list);
+  qsort (list->data, list->len, sizeof (struct candidate), by_key);
   for (guint i = 0; i < list->len; i++)
-    schedule_job (c, g_array_index (list, struct candidate, i).job, now);
+    {
+      const struct candidate *cand
+          = &g_array_index (list, struct candidate, i);
+
+      cand->job->order_class = hk_order_class (&cand->view);
+      cand->job->order_key = cand->key;
+      if (has_waiting (cand->job))
+        schedule_job (c, cand->job, now);
+    }
 }
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -153,6 +153,8 @@
   collect_noted (l, noted, now);
   if (!anyway && starts->len == 0 && stops->len == 0 && noted->len == 0)
     return;
+  /* Its agents look for a successor; only they may still reach it. */
+  reply.doubtful = coord_store_failing (c, now);
   until
       = hk_authority_grant_until (&c->authority, now, c->commit.confirmed_ms);
   if (until > l->received_ms)
--- a/src/policy/order.c
+++ b/src/policy/order.c
@@ -4,7 +4,12 @@
    not be done in time is refused before it makes others late. */
 #include "hyssopkeel/order.h"
 
-/* Distance between classes, above any due time in milliseconds. */
+/* Run times are this much longer beside others than alone. */
+#define SLOWDOWN 1.25
+/* A job is worth a fixed part, and a part by its work. */
+#define WORTH_FIXED 0.3
+#define WORTH_BY_WORK 0.7
+/* Distance between classes, above any density. */
 #define CLASS_STEP 1e10
 #define URGENCY_STEP 1e12
 #define HOPELESS 1e15
@@ -13,28 +18,42 @@
 #define ADMIT_FACTOR 2.5
 #define RETRY_MAX_S 8
 
-gboolean
-hk_order_hopeless (const struct hk_order_view *v)
+enum hk_order_class
+hk_order_class (const struct hk_order_view *v)
+{
+  double left = SLOWDOWN * (double)v->remaining_ms;
+  double done = (double)v->age_ms + left;
+
+  if (v->lasts || done <= (double)v->objective_ms)
+    return HK_ORDER_IN_TIME;
+  if ((double)(v->age_ms + v->remaining_ms)
+      <= (double)(HK_ORDER_LATE_FACTOR * v->objective_ms))
+    return HK_ORDER_LATE;
+  return HK_ORDER_HOPELESS;
+}
+
+/* Work that is left for what the job is worth. A job comes forward as it
+   nears its end, so that jobs are finished rather than begun; large ones are
+   worth more, and stand back only a little. */
+static double
+density (const struct hk_order_view *v)
 {
-  return !v->lasts
-         && v->age_ms + v->remaining_ms
-                > HK_ORDER_LATE_FACTOR * v->objective_ms;
+  double worth = WORTH_FIXED * v->mean_work + WORTH_BY_WORK * v->work;
+
+  return worth > 0 ? v->remaining_work / worth : 0;
 }
 
 double
 hk_order_key (const struct hk_order_view *v)
 {
+  enum hk_order_class class = hk_order_class (v);
   double key = (double)v->urgency * URGENCY_STEP;
-  double due = (double)(v->objective_ms - v->age_ms);
 
   if (v->lasts)
     return key - (double)v->age_ms;
-  if (hk_order_hopeless (v))
-    return HOPELESS + due;
-  if (v->age_ms + v->remaining_ms > v->objective_ms)
-    return key + CLASS_STEP
-           + (double)((HK_ORDER_LATE_FACTOR - 1) * v->objective_ms) + due;
-  return key + due;
+  if (class == HK_ORDER_HOPELESS)
+    key = HOPELESS;
+  return key + (double)class * CLASS_STEP + density (v);
 }
 
 gboolean
--- a/src/rpc/hk_job.x
+++ b/src/rpc/hk_job.x
@@ -155,6 +155,7 @@
 
 struct hk_sync_reply {
   bool leading;
+  bool doubtful;
   unsigned hyper term;
   unsigned grant_ms;
   hk_start_order starts<HK_JOB_TASKS_MAX>;
--- a/src/rpc/hk_job_xdr.c
+++ b/src/rpc/hk_job_xdr.c
@@ -787,6 +787,8 @@
 
 	 if (!xdr_bool (xdrs, &objp->leading))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->doubtful))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->term))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->grant_ms))
--- a/src/runner/runner.h
+++ b/src/runner/runner.h
@@ -106,6 +106,7 @@
   struct hk_rpc_channel channel;
   char *address;
   gboolean finding;
+  gboolean doubtful; /* its commits fail; a successor may lead */
   unsigned syncs;
   unsigned sync_generation;
   gboolean news;
--- a/src/runner/runner_sync.c
+++ b/src/runner/runner_sync.c
@@ -48,6 +48,7 @@
     hk_rpc_channel_finish (&r->channel);
   g_free (r->address);
   r->address = g_strdup (address);
+  r->doubtful = FALSE;
   r->sync_generation++;
   r->syncs = 0;
   hk_rpc_channel_init (&r->channel, address, HK_COORD_PROGRAM, HK_COORD_V1);
@@ -87,7 +88,7 @@
 
   if (r->finding)
     return;
-  if (now - r->sync_ok_ms < LOST_MS)
+  if (now - r->sync_ok_ms < LOST_MS && !r->doubtful)
     {
       hk_timer_set (&r->find_timer, LOST_MS - (now - r->sync_ok_ms),
                     on_find_timer, r);
@@ -223,6 +224,9 @@
     }
   r->term = reply->term;
   r->sync_ok_ms = now;
+  if (reply->doubtful && !r->doubtful)
+    hk_timer_set (&r->find_timer, 0, on_find_timer, r);
+  r->doubtful = reply->doubtful;
   r->grant_until_ms = MAX (r->grant_until_ms, sent + (int64_t)reply->grant_ms);
   take_orders (r, reply);
   if (leaving)
--- a/tests/unit/test_share.c
+++ b/tests/unit/test_share.c
@@ -25,19 +25,22 @@
   struct hk_order_view old = aged (5000);
   struct hk_order_view late = aged (9000);
   struct hk_order_view lost = aged (29000);
-  struct hk_order_view urgent = aged (9000);
+  struct hk_order_view urgent = aged (1000);
   struct hk_order_view lasting = aged (100);
 
   urgent.urgency = 0;
   lasting.lasts = TRUE;
   lasting.urgency = 0;
+  /* What is nearly done comes first. */
+  old.remaining_work = 500;
   g_assert_cmpfloat (hk_order_key (&old), <, hk_order_key (&young));
   g_assert_cmpfloat (hk_order_key (&young), <, hk_order_key (&late));
   g_assert_cmpfloat (hk_order_key (&late), <, hk_order_key (&lost));
   g_assert_cmpfloat (hk_order_key (&urgent), <, hk_order_key (&old));
   g_assert_cmpfloat (hk_order_key (&lasting), <, hk_order_key (&urgent));
-  g_assert_true (hk_order_hopeless (&lost));
-  g_assert_false (hk_order_hopeless (&late));
+  g_assert_cmpint (hk_order_class (&lost), ==, HK_ORDER_HOPELESS);
+  g_assert_cmpint (hk_order_class (&late), ==, HK_ORDER_LATE);
+  g_assert_cmpint (hk_order_class (&young), ==, HK_ORDER_IN_TIME);
 }
 
 /* Twice the load that can be served, for a minute; in the order of arrival
@@ -73,7 +76,10 @@
           struct hk_order_view v = { .urgency = 1,
                                      .age_ms = now - arrived[i],
                                      .objective_ms = 4000,
-                                     .remaining_ms = REPLAY_WORK_MS };
+                                     .remaining_ms = REPLAY_WORK_MS,
+                                     .work = 1,
+                                     .remaining_work = 1,
+                                     .mean_work = 1 };
           double key = plain ? (double)arrived[i] : hk_order_key (&v);
 
           if (!done[i] && (best < 0 || key < best_key))
