--- a/src/policy/order.c
+++ b/src/policy/order.c
@@ -9,10 +9,12 @@
 /* A job is worth a fixed part, and a part by its work. */
 #define WORTH_FIXED 0.3
 #define WORTH_BY_WORK 0.7
+/* Older jobs than this count as equally old. */
+#define AGE_MAX_MS 86400000
 /* Distance between classes, above any density. */
-#define CLASS_STEP 1e10
-#define URGENCY_STEP 1e12
-#define HOPELESS 1e15
+#define CLASS_STEP 1e3
+#define URGENCY_STEP 1e6
+#define HOPELESS 1e9
 /* A job is admitted if it should be done within this many times its
    objective: before it is worth nothing, less the error of estimates. */
 #define ADMIT_FACTOR 2.5
@@ -49,8 +51,9 @@
   enum hk_order_class class = hk_order_class (v);
   double key = (double)v->urgency * URGENCY_STEP;
 
+  /* Lasting tasks of one urgency come first, the oldest before the others. */
   if (v->lasts)
-    return key - (double)v->age_ms;
+    return key - (double)MIN (v->age_ms, AGE_MAX_MS) / AGE_MAX_MS;
   if (class == HK_ORDER_HOPELESS)
     key = HOPELESS;
   return key + (double)class * CLASS_STEP + density (v);
