--- a/tests/unit/test_share.c
+++ b/tests/unit/test_share.c
@@ -14,7 +14,13 @@
 aged (int64_t age_ms)
 {
   return (struct hk_order_view){
-    .urgency = 1, .age_ms = age_ms, .objective_ms = 10000, .remaining_ms = 4000
+    .urgency = 1,
+    .age_ms = age_ms,
+    .objective_ms = 10000,
+    .remaining_ms = 4000,
+    .work = 1000,
+    .remaining_work = 1000,
+    .mean_work = 1000,
   };
 }
 
