Run times by each job's own ratio to what it declared

Cause: run times were learned by image, whose jobs differ by half; chains of 300 ms were expected of jobs that take seconds, and some were refused for it. Change: the ratio of run time, less the time a filler stood still, to the declared time; the job's own first, then its queue's.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -47,6 +47,7 @@
  * @ordered_ms: time of the last order about it; 0 if it is known to nobody.
  * @undescribed: its agent has asked what the run is.
  * @reported_ms: time of the last report that showed it.
+ * @worked_ms: time it has run until then, weighted by its pace.
  * @slow_since_ms: time since which its pace has been too low; 0 if it is not.
  * @inherited: placed by an earlier coordinator, which may have ordered it.
  */
@@ -68,6 +69,7 @@
   gboolean inherited;
   gboolean undescribed;
   int64_t reported_ms;
+  double worked_ms;
   int64_t slow_since_ms;
   LIST_ENTRY (hk_run) link;
 };
@@ -119,6 +121,7 @@
  * @sent_live: the commit on its way keeps the text.
  * @shown: state by the last commit, which callers are shown.
  * @n_runs: runs alive.
+ * @ratio_sum: of run times to declared ones, over @samples ended tasks.
  * @order_class: what can still be made of it; see hk_order_class().
  * @order_key: its place in the order of work at the last pass.
  * @user: list of callers that wait for a commit; owned by the coordinator.
@@ -143,6 +146,8 @@
   unsigned n_tasks;
   unsigned n_runs;
   struct hk_engine_step *steps;
+  double ratio_sum;
+  unsigned samples;
   unsigned order_class;
   double order_key;
   gboolean dirty;
--- a/src/coord/coord_learn.c
+++ b/src/coord/coord_learn.c
@@ -17,8 +17,7 @@
 
 struct estimate
 {
-  double mean_ms;
-  unsigned samples;
+  double ratio; /* of run time to declared run time */
 };
 
 void
@@ -30,21 +29,42 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
 
-/* Tasks of one image behave alike; without an image, those of one queue. */
-static const char *
-estimate_key (const struct hk_engine_step *step)
-{
-  return step->spec->image && *step->spec->image ? step->spec->image
-                                                 : step->job->spec.queue;
-}
-
+/* Declared run times are off by a factor that a queue's jobs share in part,
+   and the tasks of one job nearly wholly: what a job has shown goes first. */
 int64_t
 coord_estimate_ms (struct hk_coord *c, const struct hk_engine_step *step)
 {
+  const struct hk_engine_job *job = step->job;
   const struct estimate *e
-      = g_hash_table_lookup (c->estimates, estimate_key (step));
+      = g_hash_table_lookup (c->estimates, job->spec.queue);
+  double declared = (double)step->spec->estimate_ms;
+
+  if (job->samples > 0)
+    return (int64_t)(declared * job->ratio_sum / job->samples);
+  return e ? (int64_t)(declared * e->ratio) : step->spec->estimate_ms;
+}
+
+static void
+learn_ratio (struct hk_coord *c, struct hk_engine_job *job, double ratio)
+{
+  struct estimate *e = g_hash_table_lookup (c->estimates, job->spec.queue);
+
+  job->ratio_sum += ratio;
+  job->samples++;
+  if (!e)
+    {
+      e = g_new0 (struct estimate, 1);
+      e->ratio = ratio;
+      g_hash_table_insert (c->estimates, g_strdup (job->spec.queue), e);
+    }
+  e->ratio += LEARN_WEIGHT * (ratio - e->ratio);
+}
 
-  return e && e->samples > 0 ? (int64_t)e->mean_ms : step->spec->estimate_ms;
+/* Time that a run took, less what it stood still by its pace. */
+static double
+worked_ms (const struct hk_run *run, int64_t now)
+{
+  return run->worked_ms + (double)(now - run->reported_ms) * run->pace / 100.0;
 }
 
 void
@@ -53,8 +73,8 @@
 {
   const struct hk_engine_step *step = run->task->step;
   struct hk_instance *in = run->instance;
-  struct estimate *e;
-  double ran = (double)(now - run->started_ms);
+  double worked;
+  double expected;
 
   if (step->spec->flags & HK_STEP_LASTS || !run->started_ms)
     return;
@@ -64,20 +84,15 @@
       += INSTANCE_WEIGHT
          * ((how == HK_END_FAILED ? 1.0 : 0.0) - in->failure_score);
   in->suspect_until_ms = now + SUSPECT_MS;
-  if (how != HK_END_DONE)
+  /* A run that went on from a checkpoint tells less than the whole. */
+  if (how != HK_END_DONE || run->number > 1 || step->spec->estimate_ms == 0)
     return;
-  e = g_hash_table_lookup (c->estimates, estimate_key (step));
-  if (!e)
-    {
-      e = g_new0 (struct estimate, 1);
-      e->mean_ms = ran;
-      g_hash_table_insert (c->estimates, g_strdup (estimate_key (step)), e);
-    }
-  if (e->mean_ms > 0 && e->samples > 2)
+  worked = worked_ms (run, now);
+  expected = (double)coord_estimate_ms (c, step);
+  if (step->job->samples > 0 && expected > 0)
     in->slowness
-        += INSTANCE_WEIGHT * (MIN (ran / e->mean_ms, 10.0) - in->slowness);
-  e->mean_ms += LEARN_WEIGHT * (ran - e->mean_ms);
-  e->samples++;
+        += INSTANCE_WEIGHT * (MIN (worked / expected, 10.0) - in->slowness);
+  learn_ratio (c, step->job, worked / step->spec->estimate_ms);
 }
 
 /* Longest chain of run time that is left, over the steps in order. */
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -321,6 +321,8 @@
       run->undescribed = TRUE;
       run->ordered_ms = 0;
     }
+  if (run->started_ms && run->reported_ms)
+    run->worked_ms += (double)(now - run->reported_ms) * run->pace / 100.0;
   run->reported_ms = now;
   run->percent = r->percent;
   run->figure = r->figure;
