--- a/tests/support/memory_store.c
+++ b/tests/support/memory_store.c
@@ -379,3 +379,62 @@
 {
   return g_tree_lookup (s->keys, key) != NULL;
 }
+
+/* Views */
+
+static gboolean
+refuse_cut (struct memory_view *v, hk_store_done done, void *user)
+{
+  struct memory_call *call;
+
+  if (!v->cut)
+    return FALSE;
+  call = new_call (v->s, done, user);
+  call->rc = HK_ERR_TIMEOUT;
+  g_timeout_add (100, answer, call);
+  return TRUE;
+}
+
+static void
+view_range (struct hk_store *base, const char *key, gboolean prefix,
+            hk_store_done done, void *user)
+{
+  struct memory_view *v = (struct memory_view *)base;
+
+  if (!refuse_cut (v, done, user))
+    store_range (&v->s->base, key, prefix, done, user);
+}
+
+static void
+view_batch (struct hk_store *base, const struct hk_store_txn *txns, size_t n,
+            hk_store_done done, void *user)
+{
+  struct memory_view *v = (struct memory_view *)base;
+
+  if (!refuse_cut (v, done, user))
+    store_batch (&v->s->base, txns, n, done, user);
+}
+
+/* A view hears of nothing by itself: reads and pings must do. */
+static struct hk_store_watch *
+view_watch (struct hk_store *base, const char *prefix, int64_t from,
+            const struct hk_store_watch_ops *watch_ops, void *user)
+{
+  struct memory_view *v = (struct memory_view *)base;
+  g_autofree char *nothing = g_strconcat ("none/", prefix, NULL);
+
+  return store_watch (&v->s->base, nothing, from, watch_ops, user);
+}
+
+static const struct hk_store_ops view_ops = { .range = view_range,
+                                              .batch = view_batch,
+                                              .watch = view_watch,
+                                              .unwatch = store_unwatch };
+
+void
+memory_view_init (struct memory_view *v, struct memory_store *s)
+{
+  v->base.ops = &view_ops;
+  v->s = s;
+  v->cut = FALSE;
+}
--- a/tests/support/memory_store.h
+++ b/tests/support/memory_store.h
@@ -34,6 +34,20 @@
   LIST_HEAD (, hk_store_watch) watches;
 };
 
+/**
+ * struct memory_view - the same store as one process reaches it.
+ * @cut: its calls get no answer but a failure.
+ */
+struct memory_view
+{
+  struct hk_store base;
+  struct memory_store *s;
+  gboolean cut;
+};
+
+/** memory_view_init() - reach @s. */
+void memory_view_init (struct memory_view *v, struct memory_store *s);
+
 /** memory_store_init() - empty store in memory of the caller. */
 void memory_store_init (struct memory_store *s);
 
