--- a/src/coord/coord_commit.c
+++ b/src/coord/coord_commit.c
@@ -268,7 +268,8 @@
     return;
   if (c->engine.n_dirty == 0 && now - k->confirmed_ms < IDLE_COMMIT_MS)
     return;
-  texts = b.texts = g_ptr_array_new_with_free_func (g_free);
+  texts = g_ptr_array_new_with_free_func (g_free);
+  b.texts = texts;
   k->seq++;
   txn.compares[0] = (struct hk_store_compare){ HK_KEY_FENCE, k->fence_rev };
   add (&b, HK_STORE_PUT, g_strdup (HK_KEY_FENCE),
--- a/src/runner/runner_sync.c
+++ b/src/runner/runner_sync.c
@@ -131,7 +131,6 @@
   for (guint i = 0; i < n; i++)
     list[i].text = labels[i];
   args->labels.labels_len = n;
-  args->labels.labels_val = list;
   return list;
 }
 
@@ -238,42 +237,55 @@
     hk_timer_set (&r->sync_timer, 0, on_sync_timer, r);
 }
 
+/* Runs alive and ends, in arrays of the caller. */
+static void
+fill_runs (hk_sync_args *args, const struct hk_runner *r, hk_run_report *runs,
+           hk_run_end *ends)
+{
+  const struct runner_run *run;
+
+  TAILQ_FOREACH (run, &r->runs, link)
+  if (run->state == RUN_ENDED)
+    fill_end (&ends[args->ends.ends_len++], run);
+  else
+    fill_run (&runs[args->runs.runs_len++], run);
+  args->runs.runs_val = runs;
+  args->ends.ends_val = ends;
+}
+
+static void
+fill_endpoint (hk_sync_args *args, const struct hk_runner *r, int64_t now)
+{
+  args->born_ms = r->born_ms;
+  args->described = r->described;
+  args->draining = r->draining;
+  /* An agent without its endpoint takes no new work. */
+  args->leaving = r->leaving || r->leaving_endpoint
+                  || r->hold_failures >= RUNNER_FAILURES_MAX;
+  args->drain_left_ms = (u_int)MAX (r->drain_until_ms - now, 0);
+  args->hold_left_ms = r->leaving ? (u_int)r->hold_max_ms : 0;
+  args->pool = r->pool ? r->pool : "";
+  args->cpu_milli = r->cpu_milli;
+  args->memory_mb = r->memory_mb;
+  args->accelerators = r->accelerators;
+}
+
 void
 runner_sync_send (struct hk_runner *r)
 {
-  hk_sync_args args = { .agent = r->name,
-                        .domain = r->domain,
-                        .life = "",
-                        .born_ms = r->born_ms,
-                        .term = r->term,
-                        .described = r->described,
-                        .draining = r->draining,
-                        .leaving = r->leaving || r->leaving_endpoint
-                                   || r->hold_failures >= RUNNER_FAILURES_MAX,
-                        .pool = r->pool ? r->pool : "" };
+  hk_sync_args args
+      = { .agent = r->name, .domain = r->domain, .life = "", .term = r->term };
   g_autofree hk_run_report *runs = g_new0 (hk_run_report, r->n_runs + 1);
   g_autofree hk_run_end *ends = g_new0 (hk_run_end, r->n_runs + 1);
-  g_autofree hk_label *labels = NULL;
-  const struct runner_run *run;
+  g_autofree hk_label *labels = fill_labels (&args, r->labels);
   struct sync *s;
   int64_t now = hk_clock_ms ();
 
   if (!r->address || !r->listed || r->syncs >= SYNCS_MAX)
     return;
-  TAILQ_FOREACH (run, &r->runs, link)
-  if (run->state == RUN_ENDED)
-    fill_end (&ends[args.ends.ends_len++], run);
-  else
-    fill_run (&runs[args.runs.runs_len++], run);
-  args.runs.runs_val = runs;
-  args.ends.ends_val = ends;
-  args.cpu_milli = r->cpu_milli;
-  args.memory_mb = r->memory_mb;
-  args.accelerators = r->accelerators;
-  args.drain_left_ms = (u_int)MAX (r->drain_until_ms - now, 0);
-  if (r->leaving)
-    args.hold_left_ms = (u_int)r->hold_max_ms;
-  labels = fill_labels (&args, r->labels);
+  fill_endpoint (&args, r, now);
+  fill_runs (&args, r, runs, ends);
+  args.labels.labels_val = labels;
   s = g_new0 (struct sync, 1);
   s->r = r;
   s->sent_ms = now;
--- a/tests/support/jobs.c
+++ b/tests/support/jobs.c
@@ -74,7 +74,7 @@
   spec->target_ms = 1000;
   spec->payload.payload_val = strdup ("text");
   spec->payload.payload_len = 4;
-  spec->steps.steps_val = calloc (n, sizeof (hk_step_spec));
+  spec->steps.steps_val = calloc (n + 1, sizeof (hk_step_spec));
   spec->steps.steps_len = n;
   for (unsigned i = 0; i < n; i++)
     {
