Refuse soon what no commit has named while the store is silent

Change: after a failed commit only its own jobs are sent again; new ones wait, and are dropped and refused once the store counts as failing.

--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -69,6 +69,8 @@
   if (c->state != COORD_LEADING)
     return;
   coord_links_check (c, now);
+  if (coord_store_failing (c, now))
+    coord_commit_drop_new (c);
   if (c->commit.forgotten->len == 0)
     drop_old_jobs (c);
   coord_kick (c);
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -150,6 +150,7 @@
 void coord_commit_init (struct hk_coord *c);
 void coord_commit_finish (struct hk_coord *c);
 void coord_commit_next (struct hk_coord *c);
+void coord_commit_drop_new (struct hk_coord *c);
 gboolean coord_store_failing (const struct hk_coord *c, int64_t now);
 
 /* coord_sync.c */
@@ -164,6 +165,7 @@
                        hk_ask_done done, void *user);
 void coord_waiters_fire (struct hk_engine_job *job);
 void coord_waiters_drop (struct hk_engine_job *job);
+void coord_waiters_refuse (struct hk_engine_job *job);
 void coord_questions_retry (struct hk_coord *c);
 void coord_questions_drop (struct hk_coord *c);
 
--- a/src/coord/coord_ask.c
+++ b/src/coord/coord_ask.c
@@ -73,8 +73,8 @@
   release_empty (job);
 }
 
-void
-coord_waiters_drop (struct hk_engine_job *job)
+static void
+end_all (struct hk_engine_job *job, const hk_ask_reply *reply)
 {
   struct coord_waiters *list = job->user;
 
@@ -84,14 +84,31 @@
     {
       struct coord_waiter *w = LIST_FIRST (list);
 
-      memset (&w->reply, 0, sizeof w->reply);
-      w->reply.outcome = HK_ASK_NOT_LEADING;
-      w->reply.reason = "";
+      w->reply = *reply;
       waiter_end (w);
     }
   release_empty (job);
 }
 
+void
+coord_waiters_drop (struct hk_engine_job *job)
+{
+  hk_ask_reply reply = { .outcome = HK_ASK_NOT_LEADING, .reason = "" };
+
+  end_all (job, &reply);
+}
+
+/* For jobs that nobody can have stored. */
+void
+coord_waiters_refuse (struct hk_engine_job *job)
+{
+  hk_ask_reply reply = { .outcome = HK_ASK_REFUSED,
+                         .reason = "the store does not answer",
+                         .retry_after_s = STORE_RETRY_AFTER_S };
+
+  end_all (job, &reply);
+}
+
 static void
 wait_commit (struct hk_engine_job *job, const hk_ask_reply *reply,
              hk_ask_done done, void *user)
--- a/src/coord/coord_commit.c
+++ b/src/coord/coord_commit.c
@@ -99,15 +99,21 @@
   job->sent_live = live;
 }
 
+/* While commits fail, jobs that no commit has named yet wait: nobody can have
+   stored them, so that their callers can still be told so. */
 static void
 take_dirty (struct hk_coord *c, struct build *b)
 {
   struct hk_engine *e = &c->engine;
   struct hk_engine_job *job;
+  struct hk_engine_job *next;
 
-  while ((job = TAILQ_FIRST (&e->dirty)) && b->rows + 2 <= ROWS_MAX
-         && b->bytes < BYTES_MAX)
+  for (job = TAILQ_FIRST (&e->dirty);
+       job && b->rows + 2 <= ROWS_MAX && b->bytes < BYTES_MAX; job = next)
     {
+      next = TAILQ_NEXT (job, dirty_link);
+      if (c->commit.failures > 0 && job->sent == 0)
+        continue;
       TAILQ_REMOVE (&e->dirty, job, dirty_link);
       job->dirty = FALSE;
       e->n_dirty--;
@@ -121,6 +127,26 @@
          NULL, 0);
 }
 
+void
+coord_commit_drop_new (struct hk_coord *c)
+{
+  struct hk_engine_job *job;
+  struct hk_engine_job *next;
+
+  for (job = TAILQ_FIRST (&c->engine.active); job; job = next)
+    {
+      next = TAILQ_NEXT (job, link);
+      if (job->sent > 0 || job->committed > 0)
+        continue;
+      hk_log (HK_LOG_INFO, "coord", NULL, job->spec.id,
+              "event=dropped why=\"the store does not answer\" "
+              "age_ms=%" G_GINT64_FORMAT,
+              hk_clock_ms () - job->accepted_ms);
+      coord_waiters_refuse (job);
+      hk_engine_forget (job);
+    }
+}
+
 /* The jobs of a failed commit go out again with the next, first. */
 static void
 put_back (struct hk_coord *c)
--- a/tests/coord/test_coord.c
+++ b/tests/coord/test_coord.c
@@ -5,6 +5,7 @@
 
 #include "../support/jobs.h"
 #include "../support/memory_store.h"
+#include "hyssopkeel/clock.h"
 #include "hyssopkeel/coord.h"
 #include "hyssopkeel/engine.h"
 #include "hyssopkeel/log.h"
@@ -462,6 +463,39 @@
   memory_store_finish (&s);
 }
 
+/* Found in an incident: jobs that came while the store was silent were held
+   until their callers gave up, though no commit had named them. */
+static void
+jobs_that_no_commit_named_are_refused_soon (void)
+{
+  struct memory_store s;
+  struct asked a;
+  struct asked first;
+  struct hk_coord *c;
+  int64_t began;
+
+  memory_store_init (&s);
+  c = start (&s, "e1", NULL);
+  test_spin (leads, c);
+  s.delay_writes = 1000;
+  ask (c, HK_ASK_SUBMIT, "1111111111111111", &first);
+  test_spin_for (100);
+  began = hk_clock_ms ();
+  ask (c, HK_ASK_SUBMIT, "2222222222222222", &a);
+  test_spin (is_over, &a);
+  g_assert_cmpint (a.outcome, ==, HK_ASK_REFUSED);
+  g_assert_cmpint (hk_clock_ms () - began, <, 1500);
+  g_assert_cmpint (first.over, ==, 0);
+  /* What the store does late with the first is true of it alone. */
+  memory_store_late (&s);
+  s.delay_writes = 0;
+  test_spin (is_over, &first);
+  g_assert_cmpint (first.outcome, ==, HK_ASK_DONE);
+  g_assert_false (memory_store_has (&s, HK_KEY_SPECS "2222222222222222"));
+  hk_coord_free (c);
+  memory_store_finish (&s);
+}
+
 static void
 cancels_stop_what_runs (void)
 {
@@ -513,5 +547,7 @@
   g_test_add_func ("/coord/open_tries_are_never_called_refused",
                    open_tries_are_never_called_refused);
   g_test_add_func ("/coord/cancels_stop_what_runs", cancels_stop_what_runs);
+  g_test_add_func ("/coord/jobs_that_no_commit_named_are_refused_soon",
+                   jobs_that_no_commit_named_are_refused_soon);
   return g_test_run ();
 }
