--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -155,10 +155,14 @@
 
 /* coord_sync.c */
 void coord_on_sync (struct hk_rpc_request *req, void *args, void *user);
-void coord_links_answer (struct hk_coord *c);
 void coord_links_drop (struct hk_coord *c);
 void coord_links_check (struct hk_coord *c, int64_t now);
 
+/* coord_answer.c */
+void coord_link_answer (struct coord_link *l, gboolean anyway);
+void coord_link_park (struct coord_link *l);
+void coord_links_answer (struct hk_coord *c);
+
 /* coord_ask.c */
 void coord_on_ask (struct hk_rpc_request *req, void *args, void *user);
 void coord_answer_ask (struct hk_coord *c, const hk_ask_args *args,
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -1,12 +1,6 @@
-/* Agents report, and take orders with the answers. Orders are levels, not
-   edges: each answer says what the report lacks, so a lost answer costs time
-   and nothing else. */
+/* Agents report what runs, what ended and what their endpoint is. */
 #include "coord.h"
 
-/* An answer without news is held this long, well inside a grant. */
-#define PARK_MS 300
-/* An order that the reports do not show yet is repeated after this time. */
-#define REPEAT_MS 400
 /* A run that reports lack for this long is asked about. */
 #define MISSING_MS 2000
 
@@ -44,181 +38,6 @@
   return l;
 }
 
-/* Answers */
-
-static void
-fill_start (hk_start_order *out, const struct hk_run *run)
-{
-  struct hk_engine_task *task = run->task;
-  const hk_step_spec *spec = task->step->spec;
-  hk_job_spec *job = &task->step->job->spec;
-
-  hk_engine_task_id (&out->task, task);
-  out->run = run->number;
-  out->cpu_milli = spec->cpu_milli;
-  out->memory_mb = spec->memory_mb;
-  out->accelerators = spec->accelerators;
-  out->flags = spec->flags;
-  out->target_ms = spec->target_ms;
-  out->image = spec->image;
-  out->checkpoint = task->checkpoint ? task->checkpoint : "";
-  out->payload.payload_len = job->payload.payload_len;
-  out->payload.payload_val = job->payload.payload_val;
-}
-
-static void
-collect_runs (struct coord_link *l, GArray *starts, GArray *stops, int64_t now)
-{
-  struct hk_instance *in = l->in;
-  struct hk_run *run;
-
-  LIST_FOREACH (run, &in->runs, link)
-  {
-    if (run->born_ms != in->born_ms
-        || (run->ordered_ms && now - run->ordered_ms < REPEAT_MS))
-      continue;
-    if (run->unwanted)
-      {
-        hk_run_id id = { .run = run->number };
-
-        hk_engine_task_id (&id.task, run->task);
-        g_array_append_val (stops, id);
-        run->ordered_ms = now;
-      }
-    else if ((!run->started_ms || run->undescribed)
-             && run->version <= run->task->step->job->committed
-             && !in->draining)
-      {
-        hk_start_order start = { 0 };
-
-        fill_start (&start, run);
-        g_array_append_val (starts, start);
-        run->undescribed = FALSE;
-        if (!run->ordered_ms)
-          hk_log (HK_LOG_INFO, "sync", in->name, start.task.job,
-                  "event=ordered step=%u index=%u run=%u "
-                  "waited_ms=%" G_GINT64_FORMAT " commit_ms=%" G_GINT64_FORMAT,
-                  start.task.step, start.task.index, start.run,
-                  run->placed_ms - run->task->ready_ms, now - run->placed_ms);
-        run->ordered_ms = now;
-      }
-  }
-}
-
-static void
-collect_noted (struct coord_link *l, GArray *noted, int64_t now)
-{
-  for (guint i = 0; i < l->ends->len; i++)
-    {
-      struct coord_end *end = &g_array_index (l->ends, struct coord_end, i);
-      const struct hk_engine_job *job
-          = hk_engine_find (&l->c->engine, end->job);
-      hk_run_id id
-          = { .task
-              = { .job = end->job, .step = end->step, .index = end->index },
-              .run = end->run };
-
-      if ((job && job->committed < end->version)
-          || (end->told_ms && now - end->told_ms < REPEAT_MS))
-        continue;
-      end->told_ms = now;
-      g_array_append_val (noted, id);
-    }
-}
-
-/* Sends the parked answer if there is news, or in any case. */
-static void
-answer (struct coord_link *l, gboolean anyway)
-{
-  struct hk_coord *c = l->c;
-  g_autoptr (GArray) starts
-      = g_array_new (FALSE, TRUE, sizeof (hk_start_order));
-  g_autoptr (GArray) stops = g_array_new (FALSE, TRUE, sizeof (hk_run_id));
-  g_autoptr (GArray) noted = g_array_new (FALSE, TRUE, sizeof (hk_run_id));
-  g_autoptr (GArray) presses
-      = g_array_new (FALSE, TRUE, sizeof (hk_press_row));
-  struct hk_rpc_request *req = l->parked;
-  hk_sync_reply reply = { .leading = TRUE, .term = c->term };
-  int64_t now = hk_clock_ms ();
-  int64_t until;
-
-  if (!req)
-    return;
-  collect_runs (l, starts, stops, now);
-  if (now - l->last_stop_ms >= REPEAT_MS && l->strays->len > 0)
-    {
-      g_array_append_vals (stops, l->strays->data, l->strays->len);
-      l->last_stop_ms = now;
-    }
-  collect_noted (l, noted, now);
-  if (!anyway && starts->len == 0 && stops->len == 0 && noted->len == 0)
-    return;
-  /* Its agents look for a successor; only they may still reach it. */
-  reply.doubtful = coord_store_failing (c, now);
-  until
-      = hk_authority_grant_until (&c->authority, now, c->commit.confirmed_ms);
-  if (until > l->received_ms)
-    {
-      reply.grant_ms = (u_int)(until - l->received_ms);
-      l->in->granted_until_ms = MAX (l->in->granted_until_ms, until);
-    }
-  reply.starts.starts_len = starts->len;
-  reply.starts.starts_val = (hk_start_order *)starts->data;
-  reply.stops.stops_len = stops->len;
-  reply.stops.stops_val = (hk_run_id *)stops->data;
-  reply.noted.noted_len = noted->len;
-  reply.noted.noted_val = (hk_run_id *)noted->data;
-  coord_share_tell (c, l, presses, now);
-  reply.presses.presses_len = presses->len;
-  reply.presses.presses_val = (hk_press_row *)presses->data;
-  l->parked = NULL;
-  hk_timer_clear (&l->wait);
-  hk_rpc_reply (req, &reply);
-}
-
-static void
-on_park_over (void *user)
-{
-  answer (user, TRUE);
-}
-
-void
-coord_links_answer (struct hk_coord *c)
-{
-  struct hk_instance *in;
-
-  TAILQ_FOREACH (in, &c->engine.instance_list, next)
-  if (in->link)
-    answer (in->link, FALSE);
-}
-
-void
-coord_links_drop (struct hk_coord *c)
-{
-  struct hk_instance *in;
-
-  TAILQ_FOREACH (in, &c->engine.instance_list, next)
-  {
-    struct coord_link *l = in->link;
-
-    if (!l)
-      continue;
-    if (l->parked)
-      {
-        hk_sync_reply reply = { .term = c->term };
-
-        hk_rpc_reply (l->parked, &reply);
-      }
-    hk_timer_clear (&l->wait);
-    g_array_unref (l->ends);
-    g_array_unref (l->strays);
-    g_free (l);
-    in->link = NULL;
-  }
-}
-
-/* Reports */
-
 static void
 lose_runs (struct hk_coord *c, struct hk_instance *in, int64_t born_before,
            const char *why, int64_t now)
@@ -458,7 +277,7 @@
       hk_rpc_reply (req, &no);
       return;
     }
-  answer (l, TRUE);
+  coord_link_answer (l, TRUE);
   l->parked = req;
   l->received_ms = now;
   if (args->born_ms > in->born_ms)
@@ -482,9 +301,8 @@
   coord_share_learn (c, in);
   reorder_missing (in, now);
   drop_unrevealed (c, in, now);
-  answer (l, FALSE);
-  if (l->parked)
-    hk_timer_set (&l->wait, PARK_MS, on_park_over, l);
+  coord_link_answer (l, FALSE);
+  coord_link_park (l);
   coord_kick (c);
 }
 
