A new coordinator refuses nothing before it knows the instances

Change: no admission test in the first 1.5 s of a lead. Figures: the new test is refused without the change, accepted with it.

--- a/src/coord/coord_learn.c
+++ b/src/coord/coord_learn.c
@@ -13,6 +13,9 @@
 /* Pace of fillers that is reckoned with before any is known, and the share of
    the room that this guess weighs. */
 #define RATE_GUESS 0.75
+/* A new coordinator knows the backlog before it knows the instances: until
+   their agents have reported, it refuses nothing. */
+#define ADMIT_AFTER_MS 1500
 #define RATE_PRIOR 0.3
 
 struct estimate
@@ -268,7 +271,7 @@
 
   v.work_core_ms = whole_work (c, spec);
   learn_work (c, spec->queue, v.work_core_ms);
-  if (!fills (spec))
+  if (!fills (spec) || now - c->taken_over_ms < ADMIT_AFTER_MS)
     return TRUE;
   step.job = &probe;
   for (unsigned i = 0; i < spec->steps.steps_len; i++)
--- a/tests/coord/test_coord.c
+++ b/tests/coord/test_coord.c
@@ -496,6 +496,38 @@
   memory_store_finish (&s);
 }
 
+/* Found in the logs of an incident: a coordinator refused work right after a
+   takeover, since it knew the backlog and no instances yet. */
+static void
+new_coordinators_refuse_nothing_yet (void)
+{
+  const unsigned counts[] = { 200, 0 };
+  struct memory_store s;
+  struct hk_coord *c;
+  struct asked a;
+
+  memory_store_init (&s);
+  c = start (&s, "e1", NULL);
+  test_spin (leads, c);
+  for (int i = 0; i < 3; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%016d", i);
+      hk_job_spec *spec = test_job (id, counts, HK_STEP_FILLS);
+      hk_ask_args args
+          = { .kind = HK_ASK_SUBMIT, .id = id, .queue = (char *)"batch" };
+
+      args.job.job_len = 1;
+      args.job.job_val = spec;
+      memset (&a, 0, sizeof a);
+      hk_coord_ask (c, &args, 5000, on_asked, &a);
+      test_spin (is_over, &a);
+      g_assert_cmpint (a.outcome, ==, HK_ASK_DONE);
+      test_job_free (spec);
+    }
+  hk_coord_free (c);
+  memory_store_finish (&s);
+}
+
 static void
 cancels_stop_what_runs (void)
 {
@@ -546,6 +578,8 @@
                    answers_of_an_earlier_load_are_dropped);
   g_test_add_func ("/coord/open_tries_are_never_called_refused",
                    open_tries_are_never_called_refused);
+  g_test_add_func ("/coord/new_coordinators_refuse_nothing_yet",
+                   new_coordinators_refuse_nothing_yet);
   g_test_add_func ("/coord/cancels_stop_what_runs", cancels_stop_what_runs);
   g_test_add_func ("/coord/jobs_that_no_commit_named_are_refused_soon",
                    jobs_that_no_commit_named_are_refused_soon);
