Copies of lagging speculative tasks; runs that stand still start elsewhere

Cause: tasks on instances that hang held their jobs without end; speculative steps were not used. Change: a speculative run that takes half as long again as expected gets a copy on another instance; any other run without progress for a second is stopped and started elsewhere, and its instance counts as slow for a while.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -47,6 +47,7 @@
  * @ordered_ms: time of the last order about it; 0 if it is known to nobody.
  * @undescribed: its agent has asked what the run is.
  * @reported_ms: time of the last report that showed it.
+ * @progress_ms: time at which @percent last rose.
  * @worked_ms: time it has run until then, weighted by its pace.
  * @slow_since_ms: time since which its pace has been too low; 0 if it is not.
  * @inherited: placed by an earlier coordinator, which may have ordered it.
@@ -70,6 +71,7 @@
   gboolean undescribed;
   int64_t reported_ms;
   double worked_ms;
+  int64_t progress_ms;
   int64_t slow_since_ms;
   LIST_ENTRY (hk_run) link;
 };
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -175,6 +175,8 @@
 
 /* coord_schedule.c */
 void coord_schedule (struct hk_coord *c, int64_t now);
+gboolean coord_place_copy (struct hk_coord *c, struct hk_engine_task *task,
+                           int64_t now);
 gboolean coord_better_place (struct hk_coord *c,
                              const struct hk_engine_task *task,
                              const struct hk_instance *than, int64_t now);
@@ -189,6 +191,9 @@
                          double *burden);
 void coord_share_move (struct hk_coord *c, int64_t now);
 
+/* coord_straggle.c */
+void coord_straggle (struct hk_coord *c, int64_t now);
+
 /* coord_learn.c */
 struct hk_order_view;
 void coord_estimates_init (struct hk_coord *c);
--- a/src/coord/coord_schedule.c
+++ b/src/coord/coord_schedule.c
@@ -54,14 +54,24 @@
     coord_share_expect (c, in, spec, &v->pace, &v->burden);
 }
 
+/* A copy beside the run that it is to help would suffer the same. */
+static gboolean
+runs_there (const struct hk_engine_task *task, const struct hk_instance *in)
+{
+  for (int i = 0; i < HK_RUNS_PER_TASK; i++)
+    if (task->runs[i] && task->runs[i]->instance == in)
+      return TRUE;
+  return FALSE;
+}
+
 static void
 view_of (struct hk_coord *c, struct hk_slots_view *v, struct hk_instance *in,
          const struct hk_engine_task *task, int64_t now)
 {
   const hk_step_spec *spec = task->step->spec;
 
-  v->usable = in->described && !in->draining && !in->leaving && in->link
-              && now - in->heard_ms < SILENT_MS
+  v->usable = !runs_there (task, in) && in->described && !in->draining
+              && !in->leaving && in->link && now - in->heard_ms < SILENT_MS
               && strcmp (in->pool, task->step->job->spec.pool) == 0
               && has_label (in, spec->label);
   v->cpu_milli = in->cpu_milli;
@@ -115,7 +125,8 @@
       continue;
     view_of (c, &v, in, task, now);
     if (v.usable && v.pace >= BETTER_PACE
-        && v.fill_room_milli >= (int64_t)spec->cpu_milli
+        && (spec->flags & HK_STEP_FILLS ? v.fill_room_milli : v.cpu_free_milli)
+               >= (int64_t)spec->cpu_milli
         && v.memory_free_mb >= (int64_t)spec->memory_mb)
       return TRUE;
   }
@@ -153,6 +164,12 @@
   return TRUE;
 }
 
+gboolean
+coord_place_copy (struct hk_coord *c, struct hk_engine_task *task, int64_t now)
+{
+  return place (c, task, now);
+}
+
 static void
 schedule_job (struct hk_coord *c, struct hk_engine_job *job, int64_t now)
 {
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -143,6 +143,8 @@
   if (run->started_ms && run->reported_ms)
     run->worked_ms += (double)(now - run->reported_ms) * run->pace / 100.0;
   run->reported_ms = now;
+  if (r->percent > run->percent || !run->progress_ms)
+    run->progress_ms = now;
   run->percent = r->percent;
   run->figure = r->figure;
   run->pace = r->pace;
