--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -93,7 +93,6 @@
   unsigned last_run;
   unsigned failures;
   int64_t ready_ms;
-  int64_t away_ms;
   char *checkpoint;
   struct hk_run *runs[HK_RUNS_PER_TASK];
 };
--- a/include/hyssopkeel/hk_job_xdr.h
+++ b/include/hyssopkeel/hk_job_xdr.h
@@ -147,7 +147,6 @@
 struct hk_sync_args {
 	char *agent;
 	char *domain;
-	char *life;
 	quad_t born_ms;
 	u_quad_t term;
 	bool_t described;
@@ -240,7 +239,6 @@
 	hk_ask_kind kind;
 	char *id;
 	char *queue;
-	u_int left_ms;
 	struct {
 		u_int job_len;
 		hk_job_spec *job_val;
--- a/include/hyssopkeel/slots.h
+++ b/include/hyssopkeel/slots.h
@@ -35,7 +35,6 @@
  * @slowness: learned run time against the mean; 1 is usual.
  * @failing: share of recent runs that failed, 0 to 1.
  * @usable: in service, right pool and labels.
- * @avoid: a run of the same task is or was there.
  */
 struct hk_slots_view
 {
@@ -52,7 +51,6 @@
   double slowness;
   double failing;
   gboolean usable;
-  gboolean avoid;
 };
 
 /**
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -67,7 +67,6 @@
 struct coord_commit
 {
   gboolean in_flight;
-  gboolean uncertain;
   uint64_t seq;
   int64_t fence_rev;
   int64_t sent_ms;
@@ -147,8 +146,6 @@
   GHashTable *mean_work;
   struct hk_pressure pressure;
   LIST_HEAD (, coord_question) questions;
-  int64_t tick_count;
-  int64_t overload_until_ms;
 };
 
 /* coord_lead.c */
--- a/src/coord/coord_ask.c
+++ b/src/coord/coord_ask.c
@@ -421,7 +421,6 @@
     {
       q->busy = TRUE;
       arm (q, left);
-      q->args.left_ms = (u_int)left;
       hk_rpc_call (&c->leader.channel, &ask_method, &q->args,
                    MIN (left, TRY_MS), on_rpc_answer, q);
     }
--- a/src/coord/coord_learn.c
+++ b/src/coord/coord_learn.c
@@ -98,9 +98,11 @@
   learn_ratio (c, step->job, worked / step->spec->estimate_ms);
 }
 
-/* Longest chain of run time that is left, over the steps in order. */
+/* Longest chain of run time over the steps in order: of all steps, or only of
+   those that are not done. */
 static int64_t
-remaining_chain (struct hk_coord *c, const struct hk_engine_job *job)
+longest_chain (struct hk_coord *c, const struct hk_engine_job *job,
+               gboolean left_only)
 {
   unsigned n = job->spec.steps.steps_len;
   g_autofree int64_t *until = g_new0 (int64_t, n + 1);
@@ -112,32 +114,13 @@
 
       for (unsigned k = 0; k < step->spec->after.after_len; k++)
         until[i] = MAX (until[i], until[step->spec->after.after_val[k]]);
-      if (step->done < step->spec->count)
+      if (!left_only || step->done < step->spec->count)
         until[i] += coord_estimate_ms (c, step);
       longest = MAX (longest, until[i]);
     }
   return longest;
 }
 
-static int64_t
-whole_chain (struct hk_coord *c, const struct hk_engine_job *job)
-{
-  unsigned n = job->spec.steps.steps_len;
-  g_autofree int64_t *until = g_new0 (int64_t, n + 1);
-  int64_t longest = 0;
-
-  for (unsigned i = 0; i < n; i++)
-    {
-      const struct hk_engine_step *step = &job->steps[i];
-
-      for (unsigned k = 0; k < step->spec->after.after_len; k++)
-        until[i] = MAX (until[i], until[step->spec->after.after_val[k]]);
-      until[i] += coord_estimate_ms (c, step);
-      longest = MAX (longest, until[i]);
-    }
-  return longest;
-}
-
 static gboolean
 lasts (const struct hk_engine_job *job)
 {
@@ -216,8 +199,8 @@
   out->urgency = job->spec.urgency;
   out->lasts = lasts (job);
   out->age_ms = now - job->accepted_ms;
-  out->objective_ms = objective (&job->spec, whole_chain (c, job));
-  out->remaining_ms = remaining_chain (c, job);
+  out->objective_ms = objective (&job->spec, longest_chain (c, job, FALSE));
+  out->remaining_ms = longest_chain (c, job, TRUE);
   out->work = whole_work (c, &job->spec);
   out->remaining_work = work_left (c, job);
   out->mean_work = mean_work (c, job->spec.queue);
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -239,7 +239,7 @@
 
 /* A run that was placed here and never shown to anyone needs no stop. */
 static void
-drop_unrevealed (struct hk_coord *c, struct hk_instance *in, int64_t now)
+drop_unrevealed (struct hk_instance *in, int64_t now)
 {
   struct hk_run *run;
   struct hk_run *next;
@@ -253,7 +253,6 @@
       if (run->unwanted && !run->inherited && !run->ordered_ms)
         hk_engine_end (run, HK_END_REFUSED, NULL, now, coord_wall_ms ());
     }
-  (void)c;
 }
 
 void
@@ -302,7 +301,7 @@
   take_report (l, args, now);
   coord_share_learn (c, in);
   reorder_missing (in, now);
-  drop_unrevealed (c, in, now);
+  drop_unrevealed (in, now);
   coord_link_answer (l, FALSE);
   coord_link_park (l);
   coord_kick (c);
--- a/src/policy/slots.c
+++ b/src/policy/slots.c
@@ -10,8 +10,6 @@
 #define SLOWNESS_MAX 2.0
 /* Score of a bad instance, below every good one. */
 #define BAD_PENALTY 1e6
-/* Weight of having had a run of the same task. */
-#define AVOID_PENALTY 1e5
 /* A filler goes where it may go fastest, then where it costs least. Instances
    without serving tasks are kept for fillers that press hard elsewhere. */
 #define PACE_WEIGHT 3.0
@@ -65,8 +63,6 @@
 
   if (v->failing > FAILING_MAX || v->slowness > SLOWNESS_MAX)
     s -= BAD_PENALTY;
-  if (v->avoid)
-    s -= AVOID_PENALTY;
   return s - v->failing;
 }
 
--- a/src/rpc/hk_job.x
+++ b/src/rpc/hk_job.x
@@ -112,7 +112,6 @@
 struct hk_sync_args {
   string agent<HK_JOB_NAME_MAX>;
   string domain<HK_JOB_NAME_MAX>;
-  string life<HK_JOB_NAME_MAX>;
   hyper born_ms;
   unsigned hyper term;
   bool described;
@@ -175,7 +174,6 @@
   hk_ask_kind kind;
   string id<HK_JOB_NAME_MAX>;
   string queue<HK_JOB_NAME_MAX>;
-  unsigned left_ms;
   hk_job_spec job<1>;
 };
 
--- a/src/rpc/hk_job_xdr.c
+++ b/src/rpc/hk_job_xdr.c
@@ -506,8 +506,6 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->domain, HK_JOB_NAME_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->life, HK_JOB_NAME_MAX))
-			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->born_ms))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->term))
@@ -563,8 +561,6 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->domain, HK_JOB_NAME_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->life, HK_JOB_NAME_MAX))
-			 return FALSE;
 		 if (!xdr_quad_t (xdrs, &objp->born_ms))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->term))
@@ -621,8 +617,6 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->domain, HK_JOB_NAME_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->life, HK_JOB_NAME_MAX))
-		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->born_ms))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->term))
@@ -829,8 +823,6 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->queue, HK_JOB_NAME_MAX))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->left_ms))
-		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->job.job_val, (u_int *) &objp->job.job_len, 1,
 		sizeof (hk_job_spec), (xdrproc_t) xdr_hk_job_spec))
 		 return FALSE;
--- a/src/runner/runner.h
+++ b/src/runner/runner.h
@@ -90,7 +90,6 @@
   /* the hold loop */
   gboolean holding;
   unsigned hold_generation;
-  int64_t hold_sent_ms;
   unsigned hold_failures;
   unsigned refusals;
   uint64_t seen;
--- a/src/runner/runner_hold.c
+++ b/src/runner/runner_hold.c
@@ -276,7 +276,6 @@
   h->sent_ms = now;
   h->last = last;
   r->holding = TRUE;
-  r->hold_sent_ms = now;
   /* A first list is wanted at once. */
   r->runtime->ops->hold (r->runtime, deadline, r->term, r->seen,
                          r->listed && r->n_runs > 0 ? wait_ms : 0, on_held, h);
--- a/src/runner/runner_run.c
+++ b/src/runner/runner_run.c
@@ -187,8 +187,9 @@
 
 /* Starts */
 
+/* By this agent's own count, the run that is to start included. */
 static gboolean
-has_room (const struct hk_runner *r, const struct runner_run *wanted)
+has_room (const struct hk_runner *r)
 {
   const struct runner_run *run;
   uint64_t cpu = 0;
@@ -203,7 +204,6 @@
       memory += run->memory_mb;
       accelerators += run->accelerators;
     }
-  (void)wanted;
   return cpu <= r->cpu_milli && memory <= r->memory_mb
          && accelerators <= r->accelerators;
 }
@@ -274,8 +274,7 @@
                                     .payload = run->payload,
                                     .payload_len = run->payload_len };
 
-  if (!runner_granted (r, now) || r->draining || r->leaving
-      || !has_room (r, run))
+  if (!runner_granted (r, now) || r->draining || r->leaving || !has_room (r))
     {
       refused (run, r->draining || r->leaving  ? "this agent drains"
                     : !runner_granted (r, now) ? "no grant"
--- a/src/runner/runner_sync.c
+++ b/src/runner/runner_sync.c
@@ -274,7 +274,7 @@
 runner_sync_send (struct hk_runner *r)
 {
   hk_sync_args args
-      = { .agent = r->name, .domain = r->domain, .life = "", .term = r->term };
+      = { .agent = r->name, .domain = r->domain, .term = r->term };
   g_autofree hk_run_report *runs = g_new0 (hk_run_report, r->n_runs + 1);
   g_autofree hk_run_end *ends = g_new0 (hk_run_end, r->n_runs + 1);
   g_autofree hk_label *labels = fill_labels (&args, r->labels);
--- a/tests/coord/test_coord.c
+++ b/tests/coord/test_coord.c
@@ -140,7 +140,6 @@
 {
   hk_sync_args args = { .agent = (char *)a->name,
                         .domain = (char *)"d",
-                        .life = (char *)"",
                         .born_ms = 5,
                         .described = TRUE,
                         .pool = (char *)"pool",
