Headroom of a learned size never makes a task fit nowhere

Cause: a task that is evicted for using more memory than declared is requeued with its use and a fifth more. 3,500 MB became 4,200, which fits no instance of 4,000, so the job was parked for ever.

Change: the headroom ends at the memory of the instance, which the use itself fits.

--- a/include/hyssopkeel/ledger.h
+++ b/include/hyssopkeel/ledger.h
@@ -39,6 +39,17 @@
  */
 gboolean hk_size_fits (const struct hk_size *need, const struct hk_size *have);
 
+/**
+ * hk_size_learned_memory() - memory to declare for a task that was seen to use
+ * more than its size says.
+ * @used_mb: what it used, megabytes.
+ * @total_mb: memory of the instance that it ran on, megabytes.
+ *
+ * Return: the use and some headroom, megabytes; the headroom never makes the
+ * size larger than an instance that the use itself fits.
+ */
+int64_t hk_size_learned_memory (int64_t used_mb, int64_t total_mb);
+
 /**
  * hk_ledger_free() - capacity that is not booked.
  * @l: ledger.
--- a/src/agent/job_run.c
+++ b/src/agent/job_run.c
@@ -14,7 +14,6 @@
 
 #define RETRY_MS 500
 #define MISSING_MAX 2
-#define MEMORY_HEADROOM_PERCENT 120
 
 static void write_claim (struct hk_agent_job *j);
 static void write_outcome (void *user);
@@ -591,13 +590,14 @@
 static void
 learn_size (struct hk_agent_job *j, json_object *task)
 {
+  struct hk_ledger *ledger = &agent_of (j)->capacity.ledger;
   int64_t used = hk_json_int (task, "used_memory_mb");
   struct hk_size extra = { .memory_mb = used - j->size.memory_mb };
 
   if (extra.memory_mb <= 0)
     return;
-  j->job.memory_mb = used * MEMORY_HEADROOM_PERCENT / 100;
-  if (hk_ledger_book (&agent_of (j)->capacity.ledger, &extra) == HK_OK)
+  j->job.memory_mb = hk_size_learned_memory (used, ledger->total.memory_mb);
+  if (hk_ledger_book (ledger, &extra) == HK_OK)
     j->size.memory_mb = used;
   else
     hk_job_run_stop (j, "uses more memory than was declared", TRUE);
--- a/src/policy/ledger.c
+++ b/src/policy/ledger.c
@@ -3,6 +3,9 @@
 
 #include "hyssopkeel/error.h"
 
+/* A task's use still grows while it is measured, percent. */
+#define MEMORY_HEADROOM_PERCENT 120
+
 gboolean
 hk_size_fits (const struct hk_size *need, const struct hk_size *have)
 {
@@ -11,6 +14,14 @@
          && need->accelerators <= have->accelerators;
 }
 
+int64_t
+hk_size_learned_memory (int64_t used_mb, int64_t total_mb)
+{
+  int64_t size = used_mb * MEMORY_HEADROOM_PERCENT / 100;
+
+  return MAX (used_mb, MIN (size, total_mb));
+}
+
 struct hk_size
 hk_ledger_free (const struct hk_ledger *l)
 {
--- a/tests/unit/test_policy.c
+++ b/tests/unit/test_policy.c
@@ -25,6 +25,15 @@
   g_assert_cmpint (l.used.slots, ==, 1);
 }
 
+static void
+learned_sizes_still_fit_where_the_use_does (void)
+{
+  g_assert_cmpint (hk_size_learned_memory (1000, 4000), ==, 1200);
+  g_assert_cmpint (hk_size_learned_memory (3500, 4000), ==, 4000);
+  /* What exceeds the instance has to go to a larger one. */
+  g_assert_cmpint (hk_size_learned_memory (4500, 4000), ==, 4500);
+}
+
 static void
 init_limits (struct hk_limits *l)
 {
@@ -298,6 +307,7 @@
   g_test_init (&argc, &argv, NULL);
 #define ADD(path, fn) g_test_add_func (path, fn)
   ADD ("/ledger/refuses", ledger_refuses_what_does_not_fit);
+  ADD ("/ledger/learned_sizes", learned_sizes_still_fit_where_the_use_does);
   ADD ("/limits/lend", limits_lend_unused_floors);
   ADD ("/limits/reserve", limits_keep_room_for_recent_demand);
   ADD ("/limits/order", limits_serve_floors_before_urgency);
