Takeovers do not begin the wait for silent agents anew

Cause: a successor assumed that each predecessor that it could not ask might have given grants until its own takeover plus a whole authority, also those that had been superseded long before by others.

Change: each process keeps, for each predecessor that a lead record names, when it first saw it superseded; the wait counts from there, and predecessors whose time is over are no longer named.

--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -7,6 +7,7 @@
 
 #include "hyssopkeel/clock.h"
 #include "hyssopkeel/engine.h"
+#include "hyssopkeel/json.h"
 #include "hyssopkeel/log.h"
 #include "hyssopkeel/metrics.h"
 #include "hyssopkeel/pressure.h"
@@ -93,11 +94,14 @@
 };
 
 /* A coordinator before this one that may still give grants, for all that is
-   known. */
+   known. None of its commits was confirmed after @since_ms, by this process's
+   clock; 0 while it leads by the record. */
 struct coord_past
 {
   struct hk_coord *c;
   char *address;
+  int64_t since_ms;
+  gboolean named; /* by the record that is being read */
   struct hk_rpc_channel channel;
   gboolean asking;
   TAILQ_ENTRY (coord_past) link;
@@ -135,6 +139,7 @@
   struct hk_timer pass_timer;
   struct hk_timer past_timer;
   TAILQ_HEAD (coord_past_list, coord_past) past;
+  int64_t past_ceased_ms; /* last time one of them answered to lead no more */
   gboolean pass_due;
 
   struct hk_engine engine;
@@ -158,8 +163,11 @@
 void coord_load (struct hk_coord *c);
 
 /* coord_past.c */
-void coord_past_add (struct hk_coord *c, const char *address);
+void coord_past_replace (struct hk_coord *c, const char *leader,
+                         json_object *before);
 void coord_past_unknown (struct hk_coord *c);
+void coord_past_superseded (struct hk_coord *c, int64_t now);
+int64_t coord_past_until (const struct hk_coord *c, int64_t now);
 void coord_past_ask (struct hk_coord *c);
 void coord_past_clear (struct hk_coord *c);
 char *coord_past_text (const struct hk_coord *c);
--- a/src/coord/coord_lead.c
+++ b/src/coord/coord_lead.c
@@ -3,8 +3,6 @@
    suspicion is safe: it costs a reload, not a guarantee. */
 #include "coord.h"
 
-#include "hyssopkeel/json.h"
-
 /* Pings find a peer that went silent; a reset is noticed at once. */
 #define PING_MS 250
 #define PING_TIMEOUT_MS 500
@@ -73,32 +71,13 @@
   hk_timer_set (&c->ping_timer, 0, on_ping_timer, c);
 }
 
-/* Whoever leads by the record, and those that it could not tell to be gone. */
-static void
-remember_past (struct hk_coord *c, json_object *obj, const char *address)
-{
-  json_object *list = NULL;
-
-  coord_past_clear (c);
-  coord_past_add (c, address);
-  if (json_object_object_get_ex (obj, "before", &list)
-      && json_object_is_type (list, json_type_array))
-    for (size_t i = 0; i < json_object_array_length (list); i++)
-      {
-        const char *text
-            = json_object_get_string (json_object_array_get_idx (list, i));
-
-        if (text)
-          coord_past_add (c, text);
-      }
-}
-
 /* Returns FALSE if the record cannot be read. */
 static gboolean
 parse_lead (struct hk_coord *c, const struct hk_store_kv *kv)
 {
   g_autoptr (json_object) obj = NULL;
   struct hk_error err;
+  json_object *before = NULL;
   const char *name;
   const char *address;
   uint64_t term;
@@ -121,7 +100,11 @@
         return TRUE;
     }
   if (kv->mod_revision >= c->leader.lead_rev)
-    remember_past (c, obj, address);
+    {
+      /* Whoever leads by the record, and whom it could not tell to be gone. */
+      json_object_object_get_ex (obj, "before", &before);
+      coord_past_replace (c, address, before);
+    }
   believe (c, name, address, term, kv->mod_revision);
   return TRUE;
 }
@@ -144,6 +127,7 @@
       c->commit.confirmed_ms = c->commit.sent_ms;
       c->commit.failing_since_ms = 0;
       c->taken_over_ms = hk_clock_ms ();
+      coord_past_superseded (c, c->taken_over_ms);
       c->state = COORD_LOADING;
       c->leader_lost_ms = 0;
       l->lead_rev = 0;
--- a/src/coord/coord_load.c
+++ b/src/coord/coord_load.c
@@ -81,8 +81,7 @@
     load_job (c, &results->kvs[i], now);
   g_clear_pointer (&c->loading, g_hash_table_unref);
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
-  in->inherited_until_ms
-      = hk_authority_inherited_until (&c->authority, c->taken_over_ms);
+  in->inherited_until_ms = coord_past_until (c, now);
   c->state = COORD_LEADING;
   hk_log (HK_LOG_INFO, "coord", NULL, NULL,
           "event=leading term=%" G_GUINT64_FORMAT
--- a/tests/coord/test_coord.c
+++ b/tests/coord/test_coord.c
@@ -42,22 +42,30 @@
         (xdrproc_t)xdr_hk_sync_reply, sizeof (hk_sync_reply) };
 
 static struct hk_coord *
-start (struct memory_store *s, const char *name, char **where)
+start_with (struct hk_store *store, struct hk_coord_options options,
+            const char *name, char **where)
 {
-  struct hk_coord_options options = HK_COORD_OPTIONS_INIT;
   g_autofree char *addr = test_address ();
   struct hk_error err;
   struct hk_coord *c;
 
   options.name = name;
   options.address = addr;
-  c = hk_coord_new (&s->base, &options);
+  c = hk_coord_new (store, &options);
   g_assert_cmpint (hk_coord_start (c, &err), ==, HK_OK);
   if (where)
     *where = g_steal_pointer (&addr);
   return c;
 }
 
+static struct hk_coord *
+start (struct memory_store *s, const char *name, char **where)
+{
+  struct hk_coord_options options = HK_COORD_OPTIONS_INIT;
+
+  return start_with (&s->base, options, name, where);
+}
+
 static gboolean
 leads (void *user)
 {
@@ -581,6 +589,54 @@
   memory_store_finish (&s);
 }
 
+/* Found by a hunt on a grown site: each of a chain of takeovers began the wait
+   for a predecessor that could not be asked anew. */
+static void
+takeovers_do_not_begin_the_wait_anew (void)
+{
+  struct hk_coord_options options = HK_COORD_OPTIONS_INIT;
+  struct memory_store s;
+  struct agent gone;
+  struct agent other;
+  struct asked a;
+  g_autofree char *where = NULL;
+  g_autofree char *next = NULL;
+  struct hk_coord *first;
+  struct hk_coord *second;
+  struct hk_coord *third;
+  int64_t began;
+
+  options.authority = (struct hk_authority){ .own_ms = 4000,
+                                             .grant_ms = 300,
+                                             .hold_ms = 500 };
+  memory_store_init (&s);
+  first = start_with (&s.base, options, "e1", &where);
+  test_spin (leads, first);
+  agent_init (&gone, "a1", where);
+  report (&gone);
+  ask (first, HK_ASK_SUBMIT, "1111111111111111", &a);
+  test_spin (two_started, &gone);
+  agent_finish (&gone);
+  /* Its authority may last for 4 seconds; nobody can ask it. */
+  hk_coord_free (first);
+  second = start_with (&s.base, options, "e2", NULL);
+  test_spin (leads, second);
+  began = hk_clock_ms ();
+  third = start_with (&s.base, options, "e3", &next);
+  test_spin_for (2500);
+  hk_coord_resign (second);
+  test_spin (leads, third);
+  agent_init (&other, "a2", next);
+  test_spin (two_more, &other);
+  /* Authority, hold and their margins, from the first takeover. */
+  g_assert_cmpint (hk_clock_ms () - began, >=, 4500);
+  g_assert_cmpint (hk_clock_ms () - began, <, 6000);
+  agent_finish (&other);
+  hk_coord_free (second);
+  hk_coord_free (third);
+  memory_store_finish (&s);
+}
+
 /* Found in the logs of an incident: a coordinator refused work right after a
    takeover, since it knew the backlog and no instances yet. */
 static void
@@ -669,6 +725,8 @@
                    predecessors_that_ceased_are_not_waited_for);
   g_test_add_func ("/coord/silent_predecessors_are_waited_for",
                    silent_predecessors_are_waited_for);
+  g_test_add_func ("/coord/takeovers_do_not_begin_the_wait_anew",
+                   takeovers_do_not_begin_the_wait_anew);
   g_test_add_func ("/coord/cancels_stop_what_runs", cancels_stop_what_runs);
   g_test_add_func ("/coord/jobs_that_no_commit_named_are_refused_soon",
                    jobs_that_no_commit_named_are_refused_soon);
