Keep a leader through outages that all see; start nothing on an old commit

Change: a follower suspects a leader's commits only if its own path to the store has worked for 0.8 s; the weak give the stronger a turn after a failed read; a weak leader is kept while it waits for agents that it has not heard from; starts are ordered only if the last commit is younger than 1.2 s.

Before: /coord/outages_for_all_change_no_leader, /coord/weak_leaders_settle_before_they_are_replaced and /coord/nothing_starts_on_the_word_of_an_old_commit fail; after: they pass, with all others of coord and runner.

--- a/include/hyssopkeel/hk_job_xdr.h
+++ b/include/hyssopkeel/hk_job_xdr.h
@@ -272,6 +272,7 @@
 struct hk_ping_reply {
 	bool_t leading;
 	bool_t resigning;
+	bool_t unsettled;
 	u_quad_t term;
 	u_int store_age_ms;
 	u_int strength;
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -77,6 +77,21 @@
   coord_kick (c);
 }
 
+/* Whether runs wait for agents that have not reported to this coordinator: a
+   successor would have to wait for them from the beginning. */
+static gboolean
+unsettled (const struct hk_coord *c)
+{
+  const struct hk_instance *in;
+
+  if (c->state == COORD_LOADING)
+    return TRUE;
+  TAILQ_FOREACH (in, &c->engine.instance_list, next)
+  if (!in->heard_ms && !LIST_EMPTY (&in->runs))
+    return TRUE;
+  return FALSE;
+}
+
 static void
 on_ping (struct hk_rpc_request *req, void *args, void *user)
 {
@@ -90,6 +105,7 @@
   reply.resigning = c->resigned;
   reply.term = c->term;
   reply.strength = c->strength;
+  reply.unsettled = reply.leading && unsettled (c);
   if (c->commit.confirmed_ms > 0)
     reply.store_age_ms = (u_int)MAX (now - c->commit.confirmed_ms, 0);
   hk_rpc_reply (req, &reply);
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -128,7 +128,9 @@
   struct hk_store_watch *watch;
   int64_t watch_from;
   int64_t store_heard_ms;
-  int64_t suspect_rev; /* of the record whose leader is suspected */
+  int64_t store_heard_since_ms; /* without a break */
+  gboolean lead_unread;         /* the last read of the lead record failed */
+  int64_t suspect_rev;          /* of the record whose leader is suspected */
   int64_t taken_over_ms;
   int64_t pinged_ms;      /* a follower asked */
   int64_t leader_lost_ms; /* 0 while a leader answers */
--- a/src/coord/coord_answer.c
+++ b/src/coord/coord_answer.c
@@ -6,6 +6,10 @@
 #define REPEAT_MS 400
 /* An answer without news is held this long, well inside a grant. */
 #define PARK_MS 300
+/* Nothing is started on the word of a coordinator whose last commit is older:
+   a successor may have cancelled it. Above the time between idle commits; with
+   a grant still under the time that callers allow for cancels. */
+#define START_AGE_MAX_MS 1200
 
 static void
 fill_start (hk_start_order *out, const struct hk_run *run)
@@ -31,6 +35,7 @@
 collect_runs (struct coord_link *l, GArray *starts, GArray *stops, int64_t now)
 {
   struct hk_instance *in = l->in;
+  gboolean fresh = now - l->c->commit.confirmed_ms < START_AGE_MAX_MS;
   struct hk_run *run;
 
   LIST_FOREACH (run, &in->runs, link)
@@ -48,7 +53,7 @@
       }
     else if ((!run->started_ms || run->undescribed)
              && run->version <= run->task->step->job->committed
-             && !in->draining)
+             && !in->draining && fresh)
       {
         hk_start_order start = { 0 };
 
--- a/src/coord/coord_lead.c
+++ b/src/coord/coord_lead.c
@@ -18,6 +18,12 @@
 /* A leader whose commits fail for this long is replaced by one whose own
    path to the store works. */
 #define STORE_AGE_MAX_MS 1500
+/* Own path works if the store was heard from within this time, the wait of a
+   watch and its time-out, ... */
+#define STORE_SILENT_MS 1600
+/* ... for at least this long: after an outage that all see, the leader's next
+   retry comes sooner. */
+#define STORE_PROVEN_MS 800
 /* A new leader is not suspected for its store path before this time. */
 #define TENURE_MIN_MS 3000
 /* Nor replaced as too weak: each takeover costs the agents that are silent. */
@@ -32,6 +38,24 @@
     = { HK_COORD_PING, (xdrproc_t)xdr_hk_ping_args,
         (xdrproc_t)xdr_hk_ping_reply, sizeof (hk_ping_reply) };
 
+static void
+store_heard (struct hk_coord *c)
+{
+  int64_t now = hk_clock_ms ();
+
+  if (now - c->store_heard_ms > STORE_SILENT_MS)
+    c->store_heard_since_ms = now;
+  c->store_heard_ms = now;
+}
+
+/* The store answers this process, and did so before the leader's next try. */
+static gboolean
+own_path_works (const struct hk_coord *c, int64_t now)
+{
+  return now - c->store_heard_ms < STORE_SILENT_MS
+         && now - c->store_heard_since_ms > STORE_PROVEN_MS;
+}
+
 static void
 disconnect (struct hk_coord *c)
 {
@@ -211,11 +235,12 @@
   if (rc < 0)
     {
       hk_log_error ("coord", NULL, err);
+      c->lead_unread = TRUE;
       hk_timer_set (&c->take_timer, TAKE_RETRY_MS + take_delay (c),
                     on_take_due, c);
       return;
     }
-  c->store_heard_ms = hk_clock_ms ();
+  store_heard (c);
   if (results->n_kvs > 0)
     {
       if (!parse_lead (c, &results->kvs[0]))
@@ -226,6 +251,15 @@
     }
   if (c->resigned)
     return;
+  if (c->lead_unread && c->strength < COORD_STRENGTH_FULL)
+    {
+      /* The store is back for all: the stronger get their turn first. */
+      c->lead_unread = FALSE;
+      hk_timer_set (&c->take_timer, TAKE_RETRY_MS + take_delay (c),
+                    on_take_due, c);
+      return;
+    }
+  c->lead_unread = FALSE;
   if (results->n_kvs == 0 || c->leader.lead_rev == before
       || strcmp (c->leader.name, c->name) == 0)
     take (c);
@@ -285,10 +319,11 @@
         }
       l->missed = 0;
       if (reply->store_age_ms > STORE_AGE_MAX_MS
-          && now - l->believed_ms > TENURE_MIN_MS)
+          && now - l->believed_ms > TENURE_MIN_MS && own_path_works (c, now))
         coord_suspect (c, "its commits fail");
       else if (reply->strength * 100 < c->strength * WEAK_PERCENT
-               && now - l->believed_ms > TENURE_WEAK_MS && !c->resigned)
+               && !reply->unsettled && now - l->believed_ms > TENURE_WEAK_MS
+               && !c->resigned)
         coord_suspect (c, "it is much weaker");
       return;
     }
@@ -351,7 +386,7 @@
   struct hk_coord *c = user;
 
   c->watch_from = revision + 1;
-  c->store_heard_ms = hk_clock_ms ();
+  store_heard (c);
 }
 
 static void
--- a/src/rpc/hk_job.x
+++ b/src/rpc/hk_job.x
@@ -200,6 +200,7 @@
 struct hk_ping_reply {
   bool leading;
   bool resigning;
+  bool unsettled; /* waits for agents that it has not heard from */
   unsigned hyper term;
   unsigned store_age_ms;
   unsigned strength;
--- a/src/rpc/hk_job_xdr.c
+++ b/src/rpc/hk_job_xdr.c
@@ -915,10 +915,59 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->leading))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->resigning))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->unsettled))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->leading);
+		IXDR_PUT_BOOL(buf, objp->resigning);
+		IXDR_PUT_BOOL(buf, objp->unsettled);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->term))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->store_age_ms))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->strength))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->leading))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->resigning))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->unsettled))
+				 return FALSE;
+
+		} else {
+		objp->leading = IXDR_GET_BOOL(buf);
+		objp->resigning = IXDR_GET_BOOL(buf);
+		objp->unsettled = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->term))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->store_age_ms))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->strength))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_bool (xdrs, &objp->leading))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->resigning))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->unsettled))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->term))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->store_age_ms))
--- a/tests/coord/test_coord.c
+++ b/tests/coord/test_coord.c
@@ -302,6 +302,43 @@
   memory_store_finish (&s);
 }
 
+/* Found by a hunt: a task began long after its cancel was acknowledged. A
+   coordinator that was cut from the store, though not from its agents, went on
+   repeating the order for it. */
+static void
+nothing_starts_on_the_word_of_an_old_commit (void)
+{
+  struct memory_store s;
+  struct memory_view view = { 0 };
+  struct hk_coord_options options = HK_COORD_OPTIONS_INIT;
+  struct agent agent;
+  struct asked a;
+  g_autofree char *where = NULL;
+  struct hk_coord *c;
+
+  memory_store_init (&s);
+  memory_view_init (&view, &s);
+  c = start_with (&view.base, options, "e1", &where);
+  test_spin (leads, c);
+  agent_init (&agent, "a1", where);
+  report (&agent);
+  ask (c, HK_ASK_SUBMIT, "1111111111111111", &a);
+  test_spin (two_started, &agent);
+  /* The orders got lost on their way; the reports do not show the runs. */
+  view.cut = TRUE;
+  test_spin_for (1500);
+  agent.n_runs = 0;
+  agent.starts = 0;
+  for (int i = 0; i < 5; i++)
+    report (&agent);
+  g_assert_cmpint (agent.starts, ==, 0);
+  view.cut = FALSE;
+  test_spin (two_started, &agent);
+  agent_finish (&agent);
+  hk_coord_free (c);
+  memory_store_finish (&s);
+}
+
 static void
 successors_take_runs_and_ends_over (void)
 {
@@ -637,6 +674,75 @@
   memory_store_finish (&s);
 }
 
+/* Found by a hunt on a grown site: when the store came back for all, a weak
+   entry was the first to find it so and replaced a leader that was well. */
+static void
+outages_for_all_change_no_leader (void)
+{
+  struct hk_coord_options options = HK_COORD_OPTIONS_INIT;
+  struct memory_store s;
+  struct asked a;
+  struct hk_coord *leader;
+  struct hk_coord *weak;
+
+  memory_store_init (&s);
+  leader = start (&s, "e1", NULL);
+  test_spin (leads, leader);
+  options.strength = 20;
+  weak = start_with (&s.base, options, "e2", NULL);
+  /* Longer than a new leader is left alone. */
+  test_spin_for (3500);
+  s.down = TRUE;
+  test_spin_for (2500);
+  s.down = FALSE;
+  test_spin_for (2000);
+  g_assert_true (hk_coord_leading (leader));
+  ask (weak, HK_ASK_SUBMIT, "1111111111111111", &a);
+  test_spin (is_over, &a);
+  g_assert_cmpint (a.outcome, ==, HK_ASK_DONE);
+  g_assert_true (hk_coord_leading (leader));
+  hk_coord_free (weak);
+  hk_coord_free (leader);
+  memory_store_finish (&s);
+}
+
+/* Found by the same hunt: a weak leader was replaced while it waited for the
+   agents of an earlier one, and the successor began that wait anew. */
+static void
+weak_leaders_settle_before_they_are_replaced (void)
+{
+  struct hk_coord_options options = HK_COORD_OPTIONS_INIT;
+  struct memory_store s;
+  struct agent gone;
+  struct asked a;
+  g_autofree char *where = NULL;
+  struct hk_coord *first;
+  struct hk_coord *weak;
+  struct hk_coord *strong;
+
+  memory_store_init (&s);
+  first = start (&s, "e1", &where);
+  test_spin (leads, first);
+  agent_init (&gone, "a1", where);
+  report (&gone);
+  ask (first, HK_ASK_SUBMIT, "1111111111111111", &a);
+  test_spin (two_started, &gone);
+  agent_finish (&gone);
+  hk_coord_free (first);
+  options.strength = 20;
+  weak = start_with (&s.base, options, "e2", NULL);
+  test_spin (leads, weak);
+  strong = start (&s, "e3", NULL);
+  /* Past the time for which a new leader is kept in any case. */
+  test_spin_for (7000);
+  g_assert_true (hk_coord_leading (weak));
+  /* Nothing to wait for: the stronger one leads soon. */
+  test_spin (leads, strong);
+  hk_coord_free (weak);
+  hk_coord_free (strong);
+  memory_store_finish (&s);
+}
+
 /* Found in the logs of an incident: a coordinator refused work right after a
    takeover, since it knew the backlog and no instances yet. */
 static void
@@ -713,6 +819,8 @@
                    late_commits_of_a_predecessor_fail);
   g_test_add_func ("/coord/nothing_starts_before_its_commit",
                    nothing_starts_before_its_commit);
+  g_test_add_func ("/coord/nothing_starts_on_the_word_of_an_old_commit",
+                   nothing_starts_on_the_word_of_an_old_commit);
   g_test_add_func ("/coord/successors_take_runs_and_ends_over",
                    successors_take_runs_and_ends_over);
   g_test_add_func ("/coord/answers_of_an_earlier_load_are_dropped",
@@ -727,6 +835,10 @@
                    silent_predecessors_are_waited_for);
   g_test_add_func ("/coord/takeovers_do_not_begin_the_wait_anew",
                    takeovers_do_not_begin_the_wait_anew);
+  g_test_add_func ("/coord/outages_for_all_change_no_leader",
+                   outages_for_all_change_no_leader);
+  g_test_add_func ("/coord/weak_leaders_settle_before_they_are_replaced",
+                   weak_leaders_settle_before_they_are_replaced);
   g_test_add_func ("/coord/cancels_stop_what_runs", cancels_stop_what_runs);
   g_test_add_func ("/coord/jobs_that_no_commit_named_are_refused_soon",
                    jobs_that_no_commit_named_are_refused_soon);
--- a/tests/support/memory_store.c
+++ b/tests/support/memory_store.c
@@ -136,16 +136,31 @@
     g_idle_add (answer, call);
 }
 
+/* An idle watch says this often that it works, milliseconds. */
+#define PROGRESS_MS 300
+
 /* Watches report writes from the main loop. */
 struct hk_store_watch
 {
   struct memory_store *s;
+  const struct memory_view *view; /* NULL if the store itself is watched */
+  guint progress;
   char *prefix;
   const struct hk_store_watch_ops *ops;
   void *user;
   LIST_ENTRY (hk_store_watch) link;
 };
 
+static gboolean
+tell_progress (gpointer data)
+{
+  struct hk_store_watch *w = data;
+
+  if (!w->s->down && !(w->view && w->view->cut))
+    w->ops->progress (w->s->revision, w->user);
+  return G_SOURCE_CONTINUE;
+}
+
 static struct hk_store_watch *
 store_watch (struct hk_store *base, const char *prefix, int64_t from,
              const struct hk_store_watch_ops *ops, void *user)
@@ -158,6 +173,7 @@
   w->prefix = g_strdup (prefix);
   w->ops = ops;
   w->user = user;
+  w->progress = g_timeout_add (PROGRESS_MS, tell_progress, w);
   LIST_INSERT_HEAD (&s->watches, w, link);
   return w;
 }
@@ -166,6 +182,7 @@
 store_unwatch (struct hk_store_watch *w)
 {
   LIST_REMOVE (w, link);
+  g_source_remove (w->progress);
   g_free (w->prefix);
   g_free (w);
 }
@@ -415,15 +432,18 @@
     store_batch (&v->s->base, txns, n, done, user);
 }
 
-/* A view hears of nothing by itself: reads and pings must do. */
+/* A view hears of no change by itself: reads and pings must do. */
 static struct hk_store_watch *
 view_watch (struct hk_store *base, const char *prefix, int64_t from,
             const struct hk_store_watch_ops *watch_ops, void *user)
 {
   struct memory_view *v = (struct memory_view *)base;
   g_autofree char *nothing = g_strconcat ("none/", prefix, NULL);
+  struct hk_store_watch *w
+      = store_watch (&v->s->base, nothing, from, watch_ops, user);
 
-  return store_watch (&v->s->base, nothing, from, watch_ops, user);
+  w->view = v;
+  return w;
 }
 
 static const struct hk_store_ops view_ops = { .range = view_range,
