A run that a list lacks is stopped before it counts as gone

Cause: whether a list was asked for after a start's answer was decided by milliseconds with 'not later than'. A hold that was sent in the same millisecond as the answer came in, though before it, made the run count as lost, and a second run of the task began 15 ms later.

Change: calls are numbered, not timed; and a run that is missing in a list is stopped first, since answers on different connections overtake each other.

Before: /runner/runs_that_a_list_lacks_are_stopped_first fails (2 runs at once); after: it passes with the others.

--- a/src/runner/runner.h
+++ b/src/runner/runner.h
@@ -35,9 +35,9 @@
   gboolean unanswered; /* a start of it may still arrive */
   gboolean gone;       /* freed while calls are open */
   unsigned calls;
-  int64_t alive_ms;
-  int64_t stop_answered_ms;
-  uint64_t listed; /* list that showed it last */
+  uint64_t alive_at;         /* place of the start's answer among calls */
+  uint64_t stop_answered_at; /* the same of a stop's answer; 0: none yet */
+  uint64_t listed;           /* list that showed it last */
   unsigned cpu_milli;
   unsigned memory_mb;
   unsigned accelerators;
@@ -86,6 +86,7 @@
   int64_t lease_until_ms;
   gboolean listed;
   uint64_t list_count;
+  uint64_t calls; /* orders sending a hold and answers of orders in time */
 
   /* the hold loop */
   gboolean holding;
@@ -133,6 +134,7 @@
 void runner_run_order (struct hk_runner *r, const hk_start_order *order);
 void runner_run_stop (struct hk_runner *r, const hk_task_id *task,
                       unsigned number);
+void runner_run_missing (struct runner_run *run);
 void runner_run_end (struct runner_run *run, hk_end_how how, uint64_t seq,
                      const char *checkpoint);
 void runner_run_free (struct runner_run *run);
--- a/src/runner/runner_hold.c
+++ b/src/runner/runner_hold.c
@@ -21,7 +21,7 @@
 {
   struct hk_runner *r;
   unsigned generation;
-  int64_t sent_ms;
+  uint64_t sent_at; /* place among the calls; milliseconds are too coarse */
   void (*last) (void *user);
 };
 
@@ -134,7 +134,7 @@
 
 /* Runs that a list asked for later than their last news does not show. */
 static void
-take_absent (struct hk_runner *r, int64_t sent_ms)
+take_absent (struct hk_runner *r, uint64_t sent_at)
 {
   struct runner_run *run;
 
@@ -142,11 +142,11 @@
   {
     if (run->listed == r->list_count)
       continue;
-    if (run->state == RUN_STOPPING && run->stop_answered_ms
-        && run->stop_answered_ms <= sent_ms)
+    if (run->state == RUN_STOPPING && run->stop_answered_at
+        && run->stop_answered_at < sent_at)
       runner_run_end (run, HK_END_REFUSED, 0, NULL);
-    else if (run->state == RUN_ALIVE && run->alive_ms <= sent_ms)
-      runner_run_end (run, HK_END_LOST, 0, NULL);
+    else if (run->state == RUN_ALIVE && run->alive_at < sent_at)
+      runner_run_missing (run);
   }
 }
 
@@ -166,7 +166,7 @@
 
 static void
 take_list (struct hk_runner *r, const struct hk_runtime_list *list,
-           int64_t sent_ms, int64_t now)
+           uint64_t sent_at, int64_t now)
 {
   runner_hold_life (r, list->born_ms);
   if (list->born_ms < r->born_ms)
@@ -181,7 +181,7 @@
   for (size_t i = 0; i < list->n_ends; i++)
     take_end (r, &list->ends[i]);
   if (list->n_ends < ENDS_MAX)
-    take_absent (r, sent_ms);
+    take_absent (r, sent_at);
   runner_ends_advance (r);
   if (!r->listed)
     runner_news (r);
@@ -227,7 +227,7 @@
   struct hk_runner *r = h->r;
   void (*last) (void *user) = h->last;
   gboolean current = h->generation == r->hold_generation;
-  int64_t sent = h->sent_ms;
+  uint64_t sent = h->sent_at;
 
   (void)clock_ms;
   g_free (h);
@@ -273,7 +273,7 @@
     }
   h->r = r;
   h->generation = ++r->hold_generation;
-  h->sent_ms = now;
+  h->sent_at = ++r->calls;
   h->last = last;
   r->holding = TRUE;
   /* A first list is wanted at once. */
--- a/src/runner/runner_run.c
+++ b/src/runner/runner_run.c
@@ -148,7 +148,7 @@
     return;
   if (rc == HK_OK)
     {
-      run->stop_answered_ms = hk_clock_ms ();
+      run->stop_answered_at = ++run->r->calls;
       runner_hold_now (run->r);
       return;
     }
@@ -185,6 +185,17 @@
   stop (run);
 }
 
+/* A list lacks a run that was confirmed. Answers on different connections
+   overtake each other, so it may run all the same: a stop settles that. */
+void
+runner_run_missing (struct runner_run *run)
+{
+  hk_log (HK_LOG_WARN, "runner", NULL, run->task.job,
+          "event=run_missing step=%u index=%u run=%u", run->task.step,
+          run->task.index, run->number);
+  stop (run);
+}
+
 /* Starts */
 
 /* By this agent's own count, the run that is to start included. */
@@ -245,7 +256,7 @@
   if (rc == HK_OK)
     {
       run->state = RUN_ALIVE;
-      run->alive_ms = hk_clock_ms ();
+      run->alive_at = ++run->r->calls;
       g_clear_pointer (&run->payload, g_free);
       runner_news (run->r);
       runner_hold_soon (run->r);
--- a/tests/runner/test_runner.c
+++ b/tests/runner/test_runner.c
@@ -180,6 +180,31 @@
   world_finish (&w);
 }
 
+static gboolean
+two_alive (void *user)
+{
+  return memory_runtime_alive (user) == 2;
+}
+
+/* Found on a standard day of a grown site: a list that was made before a start
+   came after its answer; the run counted as lost and a second one began. */
+static void
+runs_that_a_list_lacks_are_stopped_first (void)
+{
+  struct world w;
+
+  world_init (&w);
+  w.rt.work_ms = 600;
+  ask (&w, 0, HK_ASK_SUBMIT);
+  test_spin (two_alive, &w.rt);
+  w.rt.hide_runs = 1;
+  finish_job (&w, 0);
+  g_assert_cmpint (w.rt.hide_runs, ==, 0);
+  g_assert_cmpint (w.rt.most, ==, 1);
+  g_assert_cmpint (w.rt.after_done, ==, 0);
+  world_finish (&w);
+}
+
 static gboolean
 is_late (void *user)
 {
@@ -206,12 +231,6 @@
   world_finish (&w);
 }
 
-static gboolean
-two_alive (void *user)
-{
-  return memory_runtime_alive (user) == 2;
-}
-
 /* Found by a hunt: each failed hold counted as an extension, and the runs of
    a dead endpoint were never started elsewhere. */
 static void
@@ -344,6 +363,7 @@
   ADD (jobs_run_to_their_end_and_ends_are_noted);
   ADD (starts_without_an_answer_run_once);
   ADD (late_starts_are_refused);
+  ADD (runs_that_a_list_lacks_are_stopped_first);
   ADD (runs_of_a_dead_endpoint_go_elsewhere);
   ADD (a_new_lifetime_loses_what_ran);
   ADD (failures_are_tried_again);
--- a/tests/support/memory_runtime.c
+++ b/tests/support/memory_runtime.c
@@ -76,18 +76,26 @@
   struct hk_runtime_list list
       = { .clock_ms = hk_clock_ms (), .born_ms = rt->born_ms };
   struct hk_error err = { 0 };
+  gboolean hide = FALSE;
   g_autofree struct hk_runtime_run *runs
       = g_new0 (struct hk_runtime_run, rt->runs->len + 1);
   g_autofree struct hk_runtime_end *ends
       = g_new0 (struct hk_runtime_end, rt->runs->len + 1);
 
   update (rt);
+  if (a->list && rt->hide_runs > 0)
+    {
+      rt->hide_runs--;
+      hide = TRUE;
+    }
   list.runs = runs;
   list.ends = ends;
   for (guint i = 0; i < rt->runs->len && a->list; i++)
     {
       struct run *run = rt->runs->pdata[i];
 
+      if (hide && !run->ended)
+        continue;
       if (!run->ended)
         runs[list.n_runs++] = (struct hk_runtime_run){
           .task = run->task, .run = run->number, .checkpoint = (char *)""
--- a/tests/support/memory_runtime.h
+++ b/tests/support/memory_runtime.h
@@ -12,6 +12,8 @@
  * @lose_starts: so many starts are carried out without an answer.
  * @delay_starts: so many starts get no answer and are carried out by
  *                memory_runtime_late().
+ * @hide_runs: so many lists lack what is alive, as if they were made before it
+ *             and overtaken on their way.
  * @dead: every call finds no listener.
  * @started: runs that have begun.
  * @most: most runs of one task that were alive at once.
@@ -26,6 +28,7 @@
   int fail_next;
   int lose_starts;
   int delay_starts;
+  int hide_runs;
   gboolean dead;
   int started;
   int most;
