Pressure of fillers is learned in headroom; serving tasks go by image

In target over tail the effect is linear (R2 0.90 with one base for each submission's tasks); three of four pairs then are near zero, the others 3 to 25 per instance. And fillers of one step all went to the instance that looked best, since nothing counted those on their way.

Change: pairs are learned by a Kalman filter from what a task has against its siblings elsewhere; serving tasks of one image are placed together; the pace that is expected counts all fillers placed, at the load of now and of the peaks; serving tasks are reckoned with 0.45 of their processors. Fillers that found no place are tried again after 100 ms, with one view for all tasks of a step.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -42,6 +42,12 @@
  * @started_ms: time of the first report that it runs; 0 before.
  * @percent: progress that was last reported.
  * @figure: load or tail latency that was last reported.
+ * @headroom: of a serving run, its target over its tail latency.
+ * @fall: what the fillers beside it take from that, by what is known;
+ *        @fall_variance tells how surely.
+ * @alone: headroom it would have without them, by its step's other runs too;
+ *         @alone_low is the least of the last seconds.
+ * @sampled_ms: time of the report that these come from.
  * @pace: share of its speed it is allowed, percent.
  * @unwanted: it is to be stopped, and holds its room until its end is seen.
  * @ordered_ms: time of the last order about it; 0 if it is known to nobody.
@@ -64,7 +70,12 @@
   int64_t ordered_ms;
   unsigned percent;
   unsigned figure;
-  unsigned figure_before;
+  double headroom;
+  double fall;
+  double fall_variance;
+  double alone;
+  double alone_low;
+  int64_t sampled_ms;
   unsigned pace;
   gboolean unwanted;
   gboolean inherited;
@@ -110,6 +121,7 @@
   struct hk_engine_task *tasks;
   unsigned waiting;
   unsigned done;
+  int64_t tried_ms;
 };
 
 /**
--- a/include/hyssopkeel/pacing.h
+++ b/include/hyssopkeel/pacing.h
@@ -4,8 +4,9 @@
 #include <glib.h>
 #include <stdint.h>
 
-/** Share of its target that a tail may reach by the fillers' doing. */
-#define HK_PACING_AIM 0.78
+/** Headroom (target over tail) that fillers leave to what serves beside them:
+    the tail at 0.78 of its target. */
+#define HK_PACING_AIM 1.28
 
 /**
  * struct hk_pacing_filler - a task that fills, beside serving tasks.
@@ -23,18 +24,18 @@
 /**
  * struct hk_pacing_view - what runs on one instance.
  * @fillers: @n_fillers tasks that fill; their @percent is set.
- * @tails: @n_tails serving images: worst tail as a share of its target.
- * @press: @n_fillers rows of @n_tails: rise of the tail, as a share of its
- *         target, if the filler used all processors.
- * @settled: the last change has had time to show in @tails.
+ * @headroom: @n_serving serving images: least headroom.
+ * @press: @n_fillers rows of @n_serving: fall of the headroom if the filler
+ *         used all processors.
+ * @settled: the last change has had time to show in @headroom.
  * @over_ms: time for which a tail has been over its target without a break.
  */
 struct hk_pacing_view
 {
   struct hk_pacing_filler *fillers;
   unsigned n_fillers;
-  const double *tails;
-  unsigned n_tails;
+  const double *headroom;
+  unsigned n_serving;
   const double *press;
   gboolean settled;
   int64_t over_ms;
@@ -45,12 +46,12 @@
 
 /**
  * hk_pacing_expect() - share of its speed that one more filler would have.
- * @tails: @n serving images: worst tail as a share of its target.
- * @press: rise of each tail if the filler used all processors.
- * @n: number of serving images.
- * @share: of the processors that the filler would use.
+ * @headroom: of the serving task beside it, if nothing filled there.
+ * @before: fall by the fillers there that press no more than it does.
+ * @fall: fall of the headroom that it would cause at full speed.
+ *
+ * Return: 0 to 1.
  */
-double hk_pacing_expect (const double *tails, const double *press, unsigned n,
-                         double share);
+double hk_pacing_expect (double headroom, double before, double fall);
 
 #endif
--- a/include/hyssopkeel/pressure.h
+++ b/include/hyssopkeel/pressure.h
@@ -4,11 +4,15 @@
 #include <glib.h>
 
 /**
- * struct hk_pressure - how much fillers of one image lengthen the tail of
- * serving tasks of another.
+ * struct hk_pressure - how much fillers of one image disturb serving tasks of
+ * another.
  *
- * A pair's pressure is the rise of the tail, as a share of its target, that
- * fillers would cause by using all processors of the instance.
+ * A serving task's headroom is its target over its tail latency: 1 at the
+ * target, less above it. Tails of a queue grow as 1 / (1 - load), so that the
+ * headroom falls in proportion to what is added to the load, whatever the load
+ * is. A pair's pressure is the fall of the headroom that fillers would cause
+ * by using all processors of the instance. Most pairs hardly disturb each
+ * other, a few do so heavily.
  */
 struct hk_pressure
 {
@@ -37,17 +41,30 @@
                       const char *filler, double value);
 
 /**
- * hk_pressure_learn() - one change of a tail, and of the use beside it.
+ * hk_pressure_fall() - fall of the headroom that some fillers should cause.
  * @p: table.
  * @serving: image of the serving task.
- * @rise: change of its tail between two reports, as a share of its target.
- * @uses: change of use by filler image between the same reports.
+ * @uses: use by filler image beside it.
  * @n: number of @uses.
+ * @variance: how uncertain that is.
  *
- * Differences are used, since the serving tasks' own load drifts.
+ * Return: the fall.
+ */
+double hk_pressure_fall (const struct hk_pressure *p, const char *serving,
+                         const struct hk_pressure_use *uses, unsigned n,
+                         double *variance);
+
+/**
+ * hk_pressure_learn() - one observation.
+ * @p: table.
+ * @serving: image of the serving task.
+ * @fall: headroom that the task would have alone, less what it has.
+ * @noise: variance of @fall, squared headroom.
+ * @uses: use by filler image beside it.
+ * @n: number of @uses.
  */
 void hk_pressure_learn (struct hk_pressure *p, const char *serving,
-                        double rise, const struct hk_pressure_use *uses,
-                        unsigned n);
+                        double fall, double noise,
+                        const struct hk_pressure_use *uses, unsigned n);
 
 #endif
--- a/include/hyssopkeel/slots.h
+++ b/include/hyssopkeel/slots.h
@@ -29,6 +29,8 @@
  * @fill_cpu_milli: asked for by runs that fill.
  * @same_step: runs of the same step there.
  * @serving: tasks there whose tail latency has a target.
+ * @same_image: of the serving tasks, those of the image of the task.
+ * @other_images: images of the other serving tasks.
  * @pace: share of its speed that the task, if it fills, would have there.
  * @burden: share of what the serving tasks there can bear that it would use.
  * @fill_room_milli: processors that fillers could use.
@@ -45,6 +47,8 @@
   int64_t cpu_milli;
   unsigned same_step;
   unsigned serving;
+  unsigned same_image;
+  unsigned other_images;
   double pace;
   double burden;
   int64_t fill_room_milli;
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -211,9 +211,12 @@
 
 /* coord_share.c */
 int64_t coord_fill_room (const struct hk_instance *in);
-void coord_share_learn (struct hk_coord *c, struct hk_instance *in);
+void coord_share_learn (struct hk_coord *c, struct hk_instance *in,
+                        int64_t now);
 void coord_share_tell (struct hk_coord *c, struct coord_link *l, GArray *rows,
                        int64_t now);
+void coord_share_images (const struct hk_instance *in, const char *image,
+                         unsigned *same, unsigned *others);
 void coord_share_expect (struct hk_coord *c, const struct hk_instance *in,
                          const hk_step_spec *filler, double *pace,
                          double *burden);
--- a/src/coord/coord_schedule.c
+++ b/src/coord/coord_schedule.c
@@ -11,6 +11,9 @@
    while less than STARVING_USE of the processors are taken. */
 #define STARVING_MS 900
 #define STARVING_USE 0.55
+/* Fillers that found no place are tried again after this time: what decides,
+   the tails, is reported some three times a second. */
+#define FILL_RETRY_MS 100
 /* A filler is moved to where it would go at least this fast. */
 #define BETTER_PACE 0.85
 
@@ -52,6 +55,8 @@
   v->pace = 1.0;
   if (spec->flags & HK_STEP_FILLS && v->serving)
     coord_share_expect (c, in, spec, &v->pace, &v->burden);
+  if (spec->flags & HK_STEP_LASTS)
+    coord_share_images (in, spec->image, &v->same_image, &v->other_images);
 }
 
 /* A copy beside the run that it is to help would suffer the same. */
@@ -64,16 +69,23 @@
   return FALSE;
 }
 
+static gboolean
+usable (const struct hk_instance *in, const struct hk_engine_step *step,
+        int64_t now)
+{
+  return in->described && !in->draining && !in->leaving && in->link
+         && now - in->heard_ms < SILENT_MS
+         && strcmp (in->pool, step->job->spec.pool) == 0
+         && has_label (in, step->spec->label);
+}
+
 static void
 view_of (struct hk_coord *c, struct hk_slots_view *v, struct hk_instance *in,
          const struct hk_engine_task *task, int64_t now)
 {
   const hk_step_spec *spec = task->step->spec;
 
-  v->usable = !runs_there (task, in) && in->described && !in->draining
-              && !in->leaving && in->link && now - in->heard_ms < SILENT_MS
-              && strcmp (in->pool, task->step->job->spec.pool) == 0
-              && has_label (in, spec->label);
+  v->usable = !runs_there (task, in) && usable (in, task->step, now);
   v->cpu_milli = in->cpu_milli;
   v->cpu_free_milli = (int64_t)in->cpu_milli - in->used_cpu_milli;
   v->memory_free_mb = (int64_t)in->memory_mb - in->used_memory_mb;
@@ -133,9 +145,42 @@
   return FALSE;
 }
 
+/* All instances as the tasks of one step see them. */
+struct field
+{
+  struct hk_slots_view *views;
+  struct hk_instance **instances;
+  unsigned n;
+};
+
+static void
+field_init (struct field *f, struct hk_coord *c,
+            const struct hk_engine_task *task, int64_t now)
+{
+  unsigned n = g_hash_table_size (c->engine.instances);
+  struct hk_instance *in;
+
+  f->views = g_new0 (struct hk_slots_view, n);
+  f->instances = g_new0 (struct hk_instance *, n);
+  f->n = 0;
+  TAILQ_FOREACH (in, &c->engine.instance_list, next)
+  {
+    view_of (c, &f->views[f->n], in, task, now);
+    f->instances[f->n++] = in;
+  }
+}
+
+static void
+field_finish (struct field *f)
+{
+  g_free (f->views);
+  g_free (f->instances);
+}
+
 /* Returns FALSE if the task fits nowhere now. */
 static gboolean
-place (struct hk_coord *c, struct hk_engine_task *task, int64_t now)
+place (struct hk_coord *c, struct field *f, struct hk_engine_task *task,
+       int64_t now)
 {
   const hk_step_spec *spec = task->step->spec;
   struct hk_slots_need need = { .cpu_milli = spec->cpu_milli,
@@ -145,29 +190,53 @@
                                 .lasts = (spec->flags & HK_STEP_LASTS) != 0,
                                 .per_instance_max = spec->per_instance_max,
                                 .starving = starving (c, task, now) };
-  unsigned n = g_hash_table_size (c->engine.instances);
-  g_autofree struct hk_slots_view *views = g_new0 (struct hk_slots_view, n);
-  g_autofree struct hk_instance **list = g_new0 (struct hk_instance *, n);
-  struct hk_instance *in;
-  unsigned i = 0;
-  int best;
+  int best = hk_slots_choose (f->views, f->n, &need);
 
-  TAILQ_FOREACH (in, &c->engine.instance_list, next)
-  {
-    view_of (c, &views[i], in, task, now);
-    list[i++] = in;
-  }
-  best = hk_slots_choose (views, n, &need);
   if (best < 0)
     return FALSE;
-  hk_engine_place (task, list[best], now);
+  hk_engine_place (task, f->instances[best], now);
+  f->views[best] = (struct hk_slots_view){ 0 };
+  view_of (c, &f->views[best], f->instances[best], task, now);
+  /* Another task of the step may join it there. */
+  f->views[best].usable = usable (f->instances[best], task->step, now);
   return TRUE;
 }
 
 gboolean
 coord_place_copy (struct hk_coord *c, struct hk_engine_task *task, int64_t now)
 {
-  return place (c, task, now);
+  struct field f;
+  gboolean placed;
+
+  field_init (&f, c, task, now);
+  placed = place (c, &f, task, now);
+  field_finish (&f);
+  return placed;
+}
+
+static void
+schedule_step (struct hk_coord *c, struct hk_engine_step *step, int64_t now)
+{
+  gboolean fills = (step->spec->flags & HK_STEP_FILLS) != 0;
+  struct field f = { 0 };
+
+  if (fills && now - step->tried_ms < FILL_RETRY_MS)
+    return;
+  for (unsigned t = 0; t < step->spec->count; t++)
+    {
+      struct hk_engine_task *task = &step->tasks[t];
+
+      if (task->state != HK_TASK_WAITING || task->runs[0] || task->runs[1])
+        continue;
+      if (!f.views)
+        field_init (&f, c, task, now);
+      if (!place (c, &f, task, now))
+        {
+          step->tried_ms = now;
+          break;
+        }
+    }
+  field_finish (&f);
 }
 
 static void
@@ -177,12 +246,8 @@
     {
       struct hk_engine_step *step = &job->steps[i];
 
-      if (step->waiting == 0 || !hk_engine_step_ready (step))
-        continue;
-      for (unsigned t = 0; t < step->spec->count; t++)
-        if (step->tasks[t].state == HK_TASK_WAITING && !step->tasks[t].runs[0]
-            && !step->tasks[t].runs[1] && !place (c, &step->tasks[t], now))
-          break;
+      if (step->waiting > 0 && hk_engine_step_ready (step))
+        schedule_step (c, step, now);
     }
 }
 
--- a/src/coord/coord_share.c
+++ b/src/coord/coord_share.c
@@ -12,8 +12,21 @@
 #define MOVE_AFTER_MS 1000
 /* ... unless this much work would be lost, percent. */
 #define MOVE_LOSS 12
-/* Share of its processors that a serving task uses at its peaks. */
-#define LASTING_USE 0.65
+/* Headroom above this tells no more: a tail of few milliseconds is rounded. */
+#define HEADROOM_MAX 5.0
+/* Variance of one sample of a headroom; measured, docs/MEASUREMENTS.md. */
+#define HEADROOM_NOISE 0.05
+/* Below this headroom the queue is overfull. */
+#define HEADROOM_CROWDED 0.85
+/* Older samples of other tasks tell nothing of the load now: a report and a
+   half. */
+#define SAMPLE_AGE_MAX_MS 700
+/* The least headroom of the last seconds is forgotten at this rate, per
+   second: loads swing back within some ten. */
+#define LOW_RISE 0.15
+/* Share of its processors that a serving task uses: the mean of its swings,
+   which the tasks of one instance take in turn. */
+#define LASTING_USE 0.45
 
 /* Processors that more fillers could use beside what runs, milli. */
 int64_t
@@ -54,31 +67,115 @@
   g_array_append_val (uses, use);
 }
 
-/* Runs hold the figures of the last report and of the one before. */
+static void
+collect_uses (const struct hk_instance *in, GArray *uses)
+{
+  double total = (double)MAX (in->cpu_milli, 1);
+  const struct hk_run *run;
+
+  LIST_FOREACH (run, &in->runs, link)
+  if (fills (run) && run->figure > 0)
+    add_use (uses, run->task->step->spec->image, (double)run->figure / total);
+}
+
+static double
+headroom (const struct hk_run *run)
+{
+  double target = run->task->step->spec->target_ms;
+
+  return MIN (target / MAX (run->figure, 1), HEADROOM_MAX);
+}
+
+/* Headroom that a task of the step would have without fillers beside it, from
+   its other tasks, since the load of all of them swings together; and from the
+   run itself if @own.
+
+   Returns FALSE if no such task has been heard from lately. */
+static gboolean
+headroom_alone (const struct hk_run *of, gboolean own, int64_t now,
+                double *mean, double *variance)
+{
+  const struct hk_engine_step *step = of->task->step;
+  double sum = 0;
+  double weights = 0;
+
+  for (unsigned i = 0; i < step->spec->count; i++)
+    {
+      const struct hk_run *run = step->tasks[i].runs[0];
+      double weight;
+
+      if (!run || (run == of && !own)
+          || now - run->sampled_ms > SAMPLE_AGE_MAX_MS
+          || run->headroom < HEADROOM_CROWDED)
+        continue;
+      weight = 1.0 / (HEADROOM_NOISE + run->fall_variance);
+      sum += weight * (run->headroom + run->fall);
+      weights += weight;
+    }
+  if (weights <= 0)
+    return FALSE;
+  *mean = sum / weights;
+  *variance = 1.0 / weights;
+  return TRUE;
+}
+
+static void
+keep_alone (struct hk_run *run, int64_t before_ms, int64_t now)
+{
+  double variance;
+  double rise = LOW_RISE * (double)(now - before_ms) / 1000.0;
+
+  if (!headroom_alone (run, TRUE, now, &run->alone, &variance))
+    run->alone = run->headroom;
+  if (!before_ms || run->alone < run->alone_low + rise)
+    run->alone_low = run->alone;
+  else
+    run->alone_low += rise;
+}
+
+/* A queue that is overfull tells that something presses, though not how much;
+   and it takes its time to empty. */
+static void
+learn_from (struct hk_coord *c, const struct hk_run *run, double before,
+            const GArray *uses, int64_t now)
+{
+  double alone;
+  double variance;
+  double fall;
+
+  if (uses->len == 0 || !headroom_alone (run, FALSE, now, &alone, &variance))
+    return;
+  fall = alone - run->headroom;
+  if (run->headroom < HEADROOM_CROWDED
+      && (before < HEADROOM_CROWDED || fall < run->fall))
+    return;
+  hk_pressure_learn (&c->pressure, run->task->step->spec->image, fall,
+                     HEADROOM_NOISE + variance,
+                     (const struct hk_pressure_use *)uses->data, uses->len);
+}
+
 void
-coord_share_learn (struct hk_coord *c, struct hk_instance *in)
+coord_share_learn (struct hk_coord *c, struct hk_instance *in, int64_t now)
 {
   g_autoptr (GArray) uses
       = g_array_new (FALSE, TRUE, sizeof (struct hk_pressure_use));
-  double total = (double)MAX (in->cpu_milli, 1);
   struct hk_run *run;
 
+  collect_uses (in, uses);
   LIST_FOREACH (run, &in->runs, link)
-  if (fills (run))
-    add_use (uses, run->task->step->spec->image,
-             ((double)run->figure - run->figure_before) / total);
-  LIST_FOREACH (run, &in->runs, link)
-  if (serves (run))
+  if (serves (run) && run->figure > 0)
     {
-      double target = run->task->step->spec->target_ms;
+      double before = run->headroom;
+      int64_t before_ms = run->sampled_ms;
 
-      if (run->figure_before > 0)
-        hk_pressure_learn (&c->pressure, run->task->step->spec->image,
-                           ((double)run->figure - run->figure_before) / target,
-                           (struct hk_pressure_use *)uses->data, uses->len);
+      run->headroom = headroom (run);
+      run->fall = hk_pressure_fall (&c->pressure, run->task->step->spec->image,
+                                    (const struct hk_pressure_use *)uses->data,
+                                    uses->len, &run->fall_variance);
+      run->sampled_ms = now;
+      learn_from (c, run, before, uses, now);
+      keep_alone (run, before_ms, now);
     }
-  LIST_FOREACH (run, &in->runs, link)
-  run->figure_before = run->figure;
 }
 
 static gboolean
@@ -125,28 +222,97 @@
   }
 }
 
-/* How a filler would fare on an instance, and what it would cost there. */
+/* Whether another serving run of the same image comes earlier in the list. */
+static gboolean
+counted (const struct hk_run *run)
+{
+  const char *image = run->task->step->spec->image;
+  const struct hk_run *earlier;
+
+  LIST_FOREACH (earlier, &run->instance->runs, link)
+  {
+    if (earlier == run)
+      return FALSE;
+    if (earlier->task->step->spec->target_ms > 0
+        && strcmp (earlier->task->step->spec->image, image) == 0)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* What a task that lasts would serve beside, those on their way included. */
+void
+coord_share_images (const struct hk_instance *in, const char *image,
+                    unsigned *same, unsigned *others)
+{
+  const struct hk_run *run;
+
+  *same = 0;
+  *others = 0;
+  LIST_FOREACH (run, &in->runs, link)
+  {
+    const hk_step_spec *spec = run->task->step->spec;
+
+    if (spec->target_ms == 0 || spec->flags & HK_STEP_FILLS)
+      continue;
+    if (strcmp (spec->image, image) == 0)
+      ++*same;
+    else if (!counted (run))
+      ++*others;
+  }
+}
+
+/* Fall of a serving run's headroom by the fillers beside it that press less
+   than a new one, those on their way included. */
+static double
+fall_before (struct hk_coord *c, const struct hk_run *serving, double fall)
+{
+  const struct hk_instance *in = serving->instance;
+  const struct hk_run *run;
+  double sum = 0;
+
+  LIST_FOREACH (run, &in->runs, link)
+  {
+    const hk_step_spec *spec = run->task->step->spec;
+    double own;
+
+    if (!(spec->flags & HK_STEP_FILLS) || run->unwanted)
+      continue;
+    own = hk_pressure_get (&c->pressure, serving->task->step->spec->image,
+                           spec->image)
+          * spec->cpu_milli / MAX (in->cpu_milli, 1);
+    if (own <= fall)
+      sum += own;
+  }
+  return sum;
+}
+
+/* How a filler would fare on an instance, at the load of now and at that of
+   the peaks, and what it would cost there. */
 void
 coord_share_expect (struct hk_coord *c, const struct hk_instance *in,
                     const hk_step_spec *filler, double *pace, double *burden)
 {
   const struct hk_run *run;
   double share = (double)filler->cpu_milli / (double)MAX (in->cpu_milli, 1);
+  double now = 1.0;
+  double later = 1.0;
 
-  *pace = 1.0;
   *burden = 0;
   LIST_FOREACH (run, &in->runs, link)
-  if (serves (run))
+  if (serves (run) && run->sampled_ms)
     {
-      double tail
-          = (double)run->figure / (double)run->task->step->spec->target_ms;
-      double press = hk_pressure_get (
-          &c->pressure, run->task->step->spec->image, filler->image);
-      double left = MAX (HK_PACING_AIM - tail, 0.01);
-
-      *pace = MIN (*pace, hk_pacing_expect (&tail, &press, 1, share));
-      *burden = MAX (*burden, MIN (press * share / left, 1.0));
+      double fall
+          = share
+            * hk_pressure_get (&c->pressure, run->task->step->spec->image,
+                               filler->image);
+      double before = fall_before (c, run, fall);
+
+      now = MIN (now, hk_pacing_expect (run->alone, before, fall));
+      later = MIN (later, hk_pacing_expect (run->alone_low, before, fall));
+      *burden = MAX (*burden, MIN (fall / run->alone, 1.0));
     }
+  *pace = (now + later) / 2;
 }
 
 /* A filler that hardly moves goes back to the queue when another instance
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -299,7 +299,7 @@
              now + (int64_t)args->hold_left_ms - c->authority.hold_ms);
   describe (in, args, now);
   take_report (l, args, now);
-  coord_share_learn (c, in);
+  coord_share_learn (c, in, now);
   reorder_missing (in, now);
   drop_unrevealed (in, now);
   coord_link_answer (l, FALSE);
--- a/src/policy/pacing.c
+++ b/src/policy/pacing.c
@@ -1,11 +1,11 @@
-/* Pace of fillers beside serving tasks. Each tail is steered to a share of its
-   target: what it can bear is given to the fillers that press least first.
+/* Pace of fillers beside serving tasks. Each headroom is steered to an aim:
+   what it can bear is given to the fillers that press least first.
    Answers interference that differs by pair of images and changes within
    seconds. */
 #include "hyssopkeel/pacing.h"
 
-/* Share of the distance that a rise takes in one step; falls take all of it,
-   since the figures lag. */
+/* Share of the distance that a rise of pace takes in one step; falls take all
+   of it, since the figures lag. */
 #define RISE_GAIN 0.5
 /* Over the target, what was predicted to be enough was not. */
 #define OVER_FACTOR 0.5
@@ -13,53 +13,53 @@
 #define PRESS_MIN 0.02
 /* A slower pace than this is not worth its disturbance, percent. */
 #define PERCENT_MIN 4
-/* A filler that lengthens every tail by less than this share of its target is
-   left alone: the tail's own noise is larger. */
-#define LIGHT 0.02
-/* Unless a tail stays over its target for this long, milliseconds. */
+/* A filler that takes less than this from every headroom is left alone: the
+   noise of tails in whole milliseconds is larger. */
+#define LIGHT 0.06
+/* Unless something stays over its target for this long, milliseconds. */
 #define OVER_MAX_MS 1500
 #define TINY 1e-6
 
 static double
-press_at (const struct hk_pacing_view *v, unsigned filler, unsigned tail)
+press_at (const struct hk_pacing_view *v, unsigned filler, unsigned serving)
 {
-  return MAX (v->press[filler * v->n_tails + tail], PRESS_MIN);
+  return MAX (v->press[filler * v->n_serving + serving], PRESS_MIN);
 }
 
-/* Rise that a tail can bear from all fillers together. */
+/* Fall of a headroom that all fillers together may cause. */
 static double
-bearable (const struct hk_pacing_view *v, unsigned tail)
+bearable (const struct hk_pacing_view *v, unsigned serving)
 {
   double caused = 0;
   double given = 0;
-  double room = HK_PACING_AIM - v->tails[tail];
-  double rise;
+  double room = v->headroom[serving] - HK_PACING_AIM;
+  double fall;
 
   for (unsigned i = 0; i < v->n_fillers; i++)
     {
       const struct hk_pacing_filler *f = &v->fillers[i];
 
-      caused += press_at (v, i, tail) * f->used;
-      given += press_at (v, i, tail) * f->share * f->percent / 100;
+      caused += press_at (v, i, serving) * f->used;
+      given += press_at (v, i, serving) * f->share * f->percent / 100;
     }
   if (room < 0)
-    rise = MIN (caused, given) + room;
+    fall = MIN (caused, given) + room;
   else if (v->settled)
-    rise = MAX (caused, given) + RISE_GAIN * room;
+    fall = MAX (caused, given) + RISE_GAIN * room;
   else
-    rise = caused + room;
-  if (v->tails[tail] >= 1.0)
-    rise = MIN (rise, OVER_FACTOR * MIN (caused, given));
-  return MAX (rise, 0);
+    fall = caused + room;
+  if (v->headroom[serving] <= 1.0)
+    fall = MIN (fall, OVER_FACTOR * MIN (caused, given));
+  return MAX (fall, 0);
 }
 
-/* Largest part of what some tail has left that the filler would use up. */
+/* Largest part of what some headroom has left that the filler would use up. */
 static double
 weight (const struct hk_pacing_view *v, unsigned filler, const double *left)
 {
   double most = 0;
 
-  for (unsigned t = 0; t < v->n_tails; t++)
+  for (unsigned t = 0; t < v->n_serving; t++)
     most = MAX (most, press_at (v, filler, t) * v->fillers[filler].share
                           / (left[t] + TINY));
   return most;
@@ -68,7 +68,7 @@
 static gboolean
 light (const struct hk_pacing_view *v, unsigned filler)
 {
-  for (unsigned t = 0; t < v->n_tails; t++)
+  for (unsigned t = 0; t < v->n_serving; t++)
     if (press_at (v, filler, t) * v->fillers[filler].share > LIGHT)
       return FALSE;
   return v->over_ms < OVER_MAX_MS;
@@ -87,7 +87,7 @@
     percent = 0;
   /* What is on its way is not known yet: only less may be given. */
   f->percent = v->settled ? percent : MIN (percent, f->percent);
-  for (unsigned t = 0; t < v->n_tails; t++)
+  for (unsigned t = 0; t < v->n_serving; t++)
     left[t] = MAX (
         left[t] - press_at (v, filler, t) * f->share * f->percent / 100, 0);
 }
@@ -95,11 +95,11 @@
 void
 hk_pacing_decide (const struct hk_pacing_view *v)
 {
-  g_autofree double *left = g_new0 (double, v->n_tails + 1);
+  g_autofree double *left = g_new0 (double, v->n_serving + 1);
   g_autofree double *weights = g_new0 (double, v->n_fillers + 1);
   g_autofree gboolean *served = g_new0 (gboolean, v->n_fillers + 1);
 
-  for (unsigned t = 0; t < v->n_tails; t++)
+  for (unsigned t = 0; t < v->n_serving; t++)
     left[t] = bearable (v, t);
   for (unsigned i = 0; i < v->n_fillers; i++)
     weights[i] = weight (v, i, left);
@@ -116,17 +116,9 @@
 }
 
 double
-hk_pacing_expect (const double *tails, const double *press, unsigned n,
-                  double share)
+hk_pacing_expect (double headroom, double before, double fall)
 {
-  double pace = 1.0;
-
-  for (unsigned t = 0; t < n; t++)
-    {
-      double rise = MAX (press[t], PRESS_MIN) * share;
-
-      if (rise > LIGHT)
-        pace = MIN (pace, MAX (HK_PACING_AIM - tails[t], 0) / rise);
-    }
-  return pace;
+  if (fall <= LIGHT)
+    return 1.0;
+  return CLAMP ((headroom - HK_PACING_AIM - before) / fall, 0.0, 1.0);
 }
--- a/src/policy/pressure.c
+++ b/src/policy/pressure.c
@@ -1,20 +1,24 @@
-/* Learns which fillers disturb which serving tasks, by normalized least mean
-   squares over differences. Answers fillers of many images of which some
-   press hard and some hardly at all. */
+/* Learns which fillers disturb which serving tasks, by a Kalman filter with
+   independent pairs. Answers fillers of many images of which a few press hard
+   on some serving images and the others on none. */
 #include "hyssopkeel/pressure.h"
 
-/* Pressure of a pair that has not been seen. */
+/* Pressure of a pair that has not been seen, and its variance: three of four
+   pairs are near 0 and the others between 3 and 25 on the days measured in
+   docs/MEASUREMENTS.md. */
 #define GUESS 1.5
-/* Share of an error that one sample corrects. */
-#define RATE 0.25
-/* Use that changes by less than this square tells nothing. */
-#define USE_MIN 0.0004
-/* Keeps small changes from making large corrections. */
-#define DAMPING 0.004
-#define PRESSURE_MIN 0.02
-#define PRESSURE_MAX 20.0
-/* A rise over this comes from a crash of the tail, not from one filler. */
-#define RISE_MAX 1.5
+#define GUESS_VARIANCE 9.0
+/* Pressures drift; this is added to the variance with each observation. */
+#define DRIFT_VARIANCE 0.002
+#define PRESSURE_MAX 40.0
+
+struct pair
+{
+  double mean;
+  double variance;
+};
+
+static const struct pair unknown = { GUESS, GUESS_VARIANCE };
 
 void
 hk_pressure_init (struct hk_pressure *p)
@@ -28,54 +32,76 @@
   g_clear_pointer (&p->pairs, g_hash_table_unref);
 }
 
-static double *
+static const struct pair *
 find (const struct hk_pressure *p, const char *serving, const char *filler)
 {
   g_autofree char *key = g_strconcat (serving, "|", filler, NULL);
+  const struct pair *pair = g_hash_table_lookup (p->pairs, key);
+
+  return pair ? pair : &unknown;
+}
+
+static struct pair *
+claim (struct hk_pressure *p, const char *serving, const char *filler)
+{
+  g_autofree char *key = g_strconcat (serving, "|", filler, NULL);
+  struct pair *pair = g_hash_table_lookup (p->pairs, key);
 
-  return g_hash_table_lookup (p->pairs, key);
+  if (!pair)
+    {
+      pair = g_new (struct pair, 1);
+      *pair = unknown;
+      g_hash_table_insert (p->pairs, g_steal_pointer (&key), pair);
+    }
+  return pair;
 }
 
 double
 hk_pressure_get (const struct hk_pressure *p, const char *serving,
                  const char *filler)
 {
-  const double *value = find (p, serving, filler);
-
-  return value ? *value : GUESS;
+  return find (p, serving, filler)->mean;
 }
 
 void
 hk_pressure_set (struct hk_pressure *p, const char *serving,
                  const char *filler, double value)
 {
-  double *slot = find (p, serving, filler);
+  claim (p, serving, filler)->mean = CLAMP (value, 0.0, PRESSURE_MAX);
+}
+
+double
+hk_pressure_fall (const struct hk_pressure *p, const char *serving,
+                  const struct hk_pressure_use *uses, unsigned n,
+                  double *variance)
+{
+  double fall = 0;
 
-  if (!slot)
+  *variance = 0;
+  for (unsigned i = 0; i < n; i++)
     {
-      slot = g_new0 (double, 1);
-      g_hash_table_insert (p->pairs, g_strconcat (serving, "|", filler, NULL),
-                           slot);
+      const struct pair *pair = find (p, serving, uses[i].image);
+
+      fall += pair->mean * uses[i].share;
+      *variance += pair->variance * uses[i].share * uses[i].share;
     }
-  *slot = CLAMP (value, PRESSURE_MIN, PRESSURE_MAX);
+  return fall;
 }
 
 void
-hk_pressure_learn (struct hk_pressure *p, const char *serving, double rise,
-                   const struct hk_pressure_use *uses, unsigned n)
+hk_pressure_learn (struct hk_pressure *p, const char *serving, double fall,
+                   double noise, const struct hk_pressure_use *uses,
+                   unsigned n)
 {
-  double error = CLAMP (rise, -RISE_MAX, RISE_MAX);
-  double power = 0;
+  double spread;
+  double error = fall - hk_pressure_fall (p, serving, uses, n, &spread);
 
   for (unsigned i = 0; i < n; i++)
     {
-      power += uses[i].share * uses[i].share;
-      error -= hk_pressure_get (p, serving, uses[i].image) * uses[i].share;
+      struct pair *pair = claim (p, serving, uses[i].image);
+      double gain = pair->variance * uses[i].share / (spread + noise);
+
+      pair->mean = CLAMP (pair->mean + gain * error, 0.0, PRESSURE_MAX);
+      pair->variance += DRIFT_VARIANCE - gain * uses[i].share * pair->variance;
     }
-  if (power < USE_MIN)
-    return;
-  for (unsigned i = 0; i < n; i++)
-    hk_pressure_set (p, serving, uses[i].image,
-                     hk_pressure_get (p, serving, uses[i].image)
-                         + RATE * error * uses[i].share / (power + DAMPING));
 }
--- a/src/policy/slots.c
+++ b/src/policy/slots.c
@@ -19,6 +19,10 @@
 #define PACE_MIN 0.5
 /* Other tasks prefer an instance with serving tasks by this much. */
 #define APART_BONUS 2.0
+/* Serving tasks of one image bear the same fillers: an instance with a mix of
+   images is one where nearly every filler disturbs something. */
+#define SAME_IMAGE_BONUS 3.0
+#define OTHER_IMAGE_COST 1.0
 /* Slowness weighs like this share of an instance's processors. */
 #define SLOWNESS_WEIGHT 0.5
 
@@ -42,8 +46,8 @@
 }
 
 /* Fillers and serving tasks disturb each other, so they are kept apart as far
-   as room allows: serving tasks are packed, everything that does not fill
-   joins them, and fillers go where nothing serves. */
+   as room allows: serving tasks are packed by image, everything that does not
+   fill joins them, and fillers go where nothing serves. */
 static double
 score (const struct hk_slots_view *v, const struct hk_slots_need *need)
 {
@@ -56,7 +60,9 @@
         + PACE_WEIGHT * v->pace - (v->serving > 0 ? v->burden : FREE_COST)
         - SLOWNESS_WEIGHT * (v->slowness - 1.0);
   else if (need->lasts)
-    s = (v->serving > 0 ? APART_BONUS : 0) - (double)v->cpu_free_milli / total
+    s = (v->same_image > 0 ? SAME_IMAGE_BONUS : 0)
+        - OTHER_IMAGE_COST * v->other_images
+        - (double)v->cpu_free_milli / total
         - SLOWNESS_WEIGHT * (v->slowness - 1.0);
   else if (v->serving > 0)
     s += APART_BONUS;
--- a/src/runner/runner_pace.c
+++ b/src/runner/runner_pace.c
@@ -43,16 +43,16 @@
   return run->state == RUN_ALIVE && (run->flags & HK_STEP_FILLS);
 }
 
-/* Serving tasks by image, with the worst tail of each. */
+/* Serving tasks by image, with the least headroom of each. */
 static void
-collect_tails (const struct hk_runner *r, GPtrArray *images, GArray *tails)
+collect_serving (const struct hk_runner *r, GPtrArray *images, GArray *rooms)
 {
   const struct runner_run *run;
 
   TAILQ_FOREACH (run, &r->runs, link)
   if (serves (run))
     {
-      double tail = (double)run->figure / run->target_ms;
+      double room = (double)run->target_ms / MAX (run->figure, 1);
       guint i = 0;
 
       while (i < images->len && strcmp (images->pdata[i], run->image) != 0)
@@ -60,10 +60,10 @@
       if (i == images->len)
         {
           g_ptr_array_add (images, run->image);
-          g_array_append_val (tails, tail);
+          g_array_append_val (rooms, room);
         }
-      else if (tail > g_array_index (tails, double, i))
-        g_array_index (tails, double, i) = tail;
+      else if (room < g_array_index (rooms, double, i))
+        g_array_index (rooms, double, i) = room;
     }
 }
 
@@ -125,12 +125,12 @@
 }
 
 static int64_t
-time_over (struct hk_runner *r, const GArray *tails, int64_t now)
+time_over (struct hk_runner *r, const GArray *rooms, int64_t now)
 {
   gboolean over = FALSE;
 
-  for (guint t = 0; t < tails->len; t++)
-    over = over || g_array_index (tails, double, t) >= 1.0;
+  for (guint t = 0; t < rooms->len; t++)
+    over = over || g_array_index (rooms, double, t) <= 1.0;
   if (!over)
     r->over_since_ms = 0;
   else if (!r->over_since_ms)
@@ -142,7 +142,7 @@
 runner_pace (struct hk_runner *r, int64_t now)
 {
   g_autoptr (GPtrArray) images = g_ptr_array_new ();
-  g_autoptr (GArray) tails = g_array_new (FALSE, FALSE, sizeof (double));
+  g_autoptr (GArray) rooms = g_array_new (FALSE, FALSE, sizeof (double));
   g_autofree struct hk_pacing_filler *fillers
       = g_new0 (struct hk_pacing_filler, r->n_runs + 1);
   g_autofree double *press = NULL;
@@ -150,16 +150,16 @@
   struct runner_run *run;
   unsigned n = 0;
 
-  collect_tails (r, images, tails);
-  v.over_ms = time_over (r, tails, now);
+  collect_serving (r, images, rooms);
+  v.over_ms = time_over (r, rooms, now);
   press = g_new0 (double, (gsize)(r->n_runs + 1) * (images->len + 1));
   v.n_fillers = collect_fillers (r, images, fillers, press);
   if (v.n_fillers == 0)
     return;
   log_sharing (r);
   v.press = press;
-  v.tails = (const double *)tails->data;
-  v.n_tails = tails->len;
+  v.headroom = (const double *)rooms->data;
+  v.n_serving = rooms->len;
   v.settled = now - r->paced_ms >= SETTLE_MS;
   hk_pacing_decide (&v);
   TAILQ_FOREACH (run, &r->runs, link)
--- a/tests/unit/test_share.c
+++ b/tests/unit/test_share.c
@@ -161,6 +161,7 @@
 
   v[0].serving = 1;
   v[0].burden = 0.9;
+  v[0].same_image = 1;
   g_assert_cmpint (hk_slots_choose (v, 2, &serving), ==, 0);
   g_assert_cmpint (hk_slots_choose (v, 2, &quick), ==, 0);
   g_assert_cmpint (hk_slots_choose (v, 2, &filler), ==, 1);
@@ -170,6 +171,36 @@
   g_assert_cmpint (hk_slots_choose (v, 2, &filler), ==, 0);
 }
 
+/* A mix of serving images leaves no filler that disturbs none of them. */
+static void
+serving_tasks_of_one_image_go_together (void)
+{
+  struct hk_slots_view v[3]
+      = { instance (30000), instance (40000), instance (64000) };
+  struct hk_slots_need serving = { .cpu_milli = 13000, .lasts = TRUE };
+
+  v[0].serving = v[1].serving = 1;
+  v[0].other_images = 1;
+  v[1].same_image = 2;
+  g_assert_cmpint (hk_slots_choose (v, 3, &serving), ==, 1);
+  /* Rather alone than beside others. */
+  v[1].usable = FALSE;
+  g_assert_cmpint (hk_slots_choose (v, 3, &serving), ==, 2);
+  v[2].usable = FALSE;
+  g_assert_cmpint (hk_slots_choose (v, 3, &serving), ==, 0);
+}
+
+/* What is already placed counts, whether the tails show it yet or not. */
+static void
+expected_pace_counts_what_is_on_its_way (void)
+{
+  g_assert_cmpfloat (hk_pacing_expect (2.5, 0, 0.8), ==, 1.0);
+  g_assert_cmpfloat (hk_pacing_expect (2.5, 0.8, 0.8), <, 0.6);
+  g_assert_cmpfloat (hk_pacing_expect (2.5, 1.6, 0.8), ==, 0.0);
+  /* What hardly presses runs even at a peak. */
+  g_assert_cmpfloat (hk_pacing_expect (1.1, 1.6, 0.03), ==, 1.0);
+}
+
 static void
 fillers_wait_rather_than_crawl (void)
 {
@@ -222,13 +253,13 @@
   struct hk_pacing_filler f[2]
       = { { .share = 0.1, .used = 0.1, .percent = 100 },
           { .share = 0.1, .used = 0.1, .percent = 100 } };
-  const double tails[] = { 1.05, 0.4 };
-  /* The first presses on the tail that is over, the second on the other. */
+  const double rooms[] = { 0.95, 2.5 };
+  /* The first presses on the one that is over, the second on the other. */
   const double press[] = { 5.0, 0.1, 0.1, 0.5 };
   struct hk_pacing_view v = { .fillers = f,
                               .n_fillers = 2,
-                              .tails = tails,
-                              .n_tails = 2,
+                              .headroom = rooms,
+                              .n_serving = 2,
                               .press = press,
                               .settled = TRUE };
 
@@ -242,12 +273,12 @@
 {
   struct hk_pacing_filler f[1]
       = { { .share = 0.1, .used = 0, .percent = 100 } };
-  const double tails[] = { 1.2 };
+  const double rooms[] = { 0.83 };
   const double press[] = { 0.05 };
   struct hk_pacing_view v = { .fillers = f,
                               .n_fillers = 1,
-                              .tails = tails,
-                              .n_tails = 1,
+                              .headroom = rooms,
+                              .n_serving = 1,
                               .press = press,
                               .settled = TRUE,
                               .over_ms = 2000 };
@@ -261,11 +292,13 @@
 {
   struct hk_pacing_filler f[1]
       = { { .share = 0.1, .used = 0.02, .percent = 20 } };
-  const double tails[] = { 0.3 };
+  const double rooms[] = { 3.3 };
   const double press[] = { 1.0 };
-  struct hk_pacing_view v = {
-    .fillers = f, .n_fillers = 1, .tails = tails, .n_tails = 1, .press = press
-  };
+  struct hk_pacing_view v = { .fillers = f,
+                              .n_fillers = 1,
+                              .headroom = rooms,
+                              .n_serving = 1,
+                              .press = press };
 
   hk_pacing_decide (&v);
   g_assert_cmpuint (f[0].percent, ==, 20);
@@ -274,32 +307,62 @@
   g_assert_cmpuint (f[0].percent, ==, 100);
 }
 
+/* Serving tasks of one job swing together; on each instance fillers of other
+   images press on them. */
+#define INSTANCES 6
+#define IMAGES 4
+
 static void
-pressure_is_learned_under_a_drifting_load (void)
+pressure_is_learned_under_a_swinging_load (void)
 {
+  static const char *const images[IMAGES] = { "heavy", "a", "b", "c" };
+  static const double truth[IMAGES] = { 8.0, 0.0, 0.1, 3.0 };
   struct hk_pressure p;
   g_autoptr (GRand) rand = g_rand_new_with_seed (7);
-  double before[2] = { 0, 0 };
-  double base = 0.4;
+  double variance;
 
   hk_pressure_init (&p);
-  for (int i = 0; i < 400; i++)
-    {
-      double now[2] = { g_rand_int_range (rand, 0, 3) * 0.1,
-                        g_rand_int_range (rand, 0, 3) * 0.1 };
-      double drift = g_rand_double_range (rand, -0.03, 0.03);
-      struct hk_pressure_use uses[2] = { { "heavy", now[0] - before[0] },
-                                         { "light", now[1] - before[1] } };
-
-      base += drift;
-      hk_pressure_learn (&p, "serving",
-                         drift + 3.0 * uses[0].share + 0.05 * uses[1].share,
-                         uses, 2);
-      before[0] = now[0];
-      before[1] = now[1];
-    }
-  g_assert_cmpfloat (hk_pressure_get (&p, "serving", "heavy"), >, 2.0);
-  g_assert_cmpfloat (hk_pressure_get (&p, "serving", "light"), <, 0.5);
+  for (int step = 0; step < 25; step++)
+    for (int i = 0; i < INSTANCES; i++)
+      {
+        struct hk_pressure_use uses[2];
+        double fall = g_rand_double_range (rand, -0.4, 0.4);
+
+        for (int k = 0; k < 2; k++)
+          {
+            int which = (step / 5 + i + k) % IMAGES;
+
+            uses[k].image = images[which];
+            uses[k].share = 0.08 + 0.04 * k;
+            fall += truth[which] * uses[k].share;
+          }
+        hk_pressure_learn (&p, "serving", fall, 0.06, uses, 2);
+      }
+  for (int k = 0; k < IMAGES; k++)
+    g_assert_cmpfloat_with_epsilon (hk_pressure_get (&p, "serving", images[k]),
+                                    truth[k], 1.0);
+  g_assert_cmpfloat (hk_pressure_get (&p, "other", "heavy"), >, 0.5);
+  hk_pressure_fall (&p, "serving", &(struct hk_pressure_use){ "heavy", 0.1 },
+                    1, &variance);
+  g_assert_cmpfloat (variance, <, 0.01);
+  hk_pressure_finish (&p);
+}
+
+/* The first sight of a heavy pair is enough to keep it apart. */
+static void
+one_observation_tells_a_heavy_pair (void)
+{
+  struct hk_pressure p;
+  struct hk_pressure_use use = { "heavy", 0.1 };
+  double guess;
+
+  hk_pressure_init (&p);
+  guess = hk_pressure_get (&p, "serving", "heavy");
+  hk_pressure_learn (&p, "serving", 1.0, 0.06, &use, 1);
+  g_assert_cmpfloat (hk_pressure_get (&p, "serving", "heavy"), >, 3 * guess);
+  hk_pressure_learn (&p, "quiet", 0.0, 0.06, &use, 1);
+  hk_pressure_learn (&p, "quiet", 0.0, 0.06, &use, 1);
+  g_assert_cmpfloat (hk_pressure_get (&p, "quiet", "heavy"), <, guess / 2);
   hk_pressure_finish (&p);
 }
 
@@ -347,13 +410,16 @@
   ADD (overload_leaves_half_in_time);
   ADD (hopeless_work_is_refused_with_a_time_to_return);
   ADD (serving_tasks_are_packed_and_fillers_kept_away);
+  ADD (serving_tasks_of_one_image_go_together);
+  ADD (expected_pace_counts_what_is_on_its_way);
   ADD (fillers_wait_rather_than_crawl);
   ADD (bad_instances_are_the_last_choice);
   ADD (capacity_and_spread_are_kept);
   ADD (only_what_presses_is_slowed);
   ADD (everything_stops_while_a_tail_stays_over);
   ADD (nothing_rises_before_the_figures_show_it);
-  ADD (pressure_is_learned_under_a_drifting_load);
+  ADD (pressure_is_learned_under_a_swinging_load);
+  ADD (one_observation_tells_a_heavy_pair);
   ADD (grants_end_with_the_coordinators_own_authority);
   ADD (runs_are_over_before_they_are_given_away);
   return g_test_run ();
