A suspicion of failing commits needs a path that is better, and ends

At the beginning of an outage that all see, the leader's last commit can be 0.7 s older than a follower's last news of the store; the follower suspected it, and the suspicion lasted until the store was back.

Change: the store must have been heard from a second later than by the leader; and a leader that answers without fault ends a suspicion that has not led to anything yet.

--- a/src/coord/coord_lead.c
+++ b/src/coord/coord_lead.c
@@ -18,11 +18,13 @@
 /* A leader whose commits fail for this long is replaced by one whose own
    path to the store works. */
 #define STORE_AGE_MAX_MS 1500
-/* Own path works if the store was heard from within this time, the wait of a
-   watch and its time-out, ... */
+/* A watch that works is heard from within this time, its wait and time-out. */
 #define STORE_SILENT_MS 1600
-/* ... for at least this long: after an outage that all see, the leader's next
-   retry comes sooner. */
+/* Own path works better than the leader's if it was heard from this much
+   later, more than the time between a leader's idle commits, ... */
+#define STORE_LATER_MS 1000
+/* ... and has been for at least this long: after an outage that all see, the
+   leader's next retry comes sooner. */
 #define STORE_PROVEN_MS 800
 /* A new leader is not suspected for its store path before this time. */
 #define TENURE_MIN_MS 3000
@@ -48,11 +50,12 @@
   c->store_heard_ms = now;
 }
 
-/* The store answers this process, and did so before the leader's next try. */
+/* The store answers this process though not the leader. */
 static gboolean
-own_path_works (const struct hk_coord *c, int64_t now)
+own_path_is_better (const struct hk_coord *c, int64_t leader_age_ms,
+                    int64_t now)
 {
-  return now - c->store_heard_ms < STORE_SILENT_MS
+  return now - c->store_heard_ms + STORE_LATER_MS < leader_age_ms
          && now - c->store_heard_since_ms > STORE_PROVEN_MS;
 }
 
@@ -296,6 +299,33 @@
   hk_timer_set (&c->take_timer, take_delay (c), on_take_due, c);
 }
 
+/* The leader is well after all; what is not begun is not done. */
+static void
+end_suspicion (struct hk_coord *c)
+{
+  if (!c->take_timer.iter)
+    return;
+  hk_log (HK_LOG_INFO, "coord", c->leader.address, NULL,
+          "event=suspicion_ended term=%" G_GUINT64_FORMAT, c->leader.term);
+  hk_timer_clear (&c->take_timer);
+  c->lead_unread = FALSE;
+}
+
+/* Why a leader that answers is to be replaced, or NULL. */
+static const char *
+fault_of (const struct hk_coord *c, const hk_ping_reply *reply, int64_t now)
+{
+  int64_t tenure = now - c->leader.believed_ms;
+
+  if (reply->store_age_ms > STORE_AGE_MAX_MS && tenure > TENURE_MIN_MS
+      && own_path_is_better (c, reply->store_age_ms, now))
+    return "its commits fail";
+  if (reply->strength * 100 < c->strength * WEAK_PERCENT && !reply->unsettled
+      && tenure > TENURE_WEAK_MS && !c->resigned)
+    return "it is much weaker";
+  return NULL;
+}
+
 /* Pings */
 
 static void
@@ -305,6 +335,7 @@
   struct coord_leader *l = &c->leader;
   const hk_ping_reply *reply = result;
   int64_t now = hk_clock_ms ();
+  const char *why;
 
   l->pinging = FALSE;
   if (rc == HK_ERR_STOPPED || c->state != COORD_FOLLOWING)
@@ -318,13 +349,11 @@
           coord_questions_retry (c);
         }
       l->missed = 0;
-      if (reply->store_age_ms > STORE_AGE_MAX_MS
-          && now - l->believed_ms > TENURE_MIN_MS && own_path_works (c, now))
-        coord_suspect (c, "its commits fail");
-      else if (reply->strength * 100 < c->strength * WEAK_PERCENT
-               && !reply->unsettled && now - l->believed_ms > TENURE_WEAK_MS
-               && !c->resigned)
-        coord_suspect (c, "it is much weaker");
+      why = fault_of (c, reply, now);
+      if (why)
+        coord_suspect (c, why);
+      else
+        end_suspicion (c);
       return;
     }
   if (rc == HK_OK)
