What is learned of images outlives its coordinator

Cause: each takeover began with no knowledge of which fillers press on what, and learning a pair means disturbing someone.

Change: agents, which hold the pairs of their own instance, tell them to a new coordinator with their first report; it keeps what it learns itself above that. The table is bounded.

Test: /share/pressure_outlives_its_coordinator, /share/pairs_are_bounded.

--- a/include/hyssopkeel/hk_job_xdr.h
+++ b/include/hyssopkeel/hk_job_xdr.h
@@ -144,6 +144,13 @@
 };
 typedef struct hk_label hk_label;
 
+struct hk_press_row {
+	char *serving;
+	char *filler;
+	u_int milli;
+};
+typedef struct hk_press_row hk_press_row;
+
 struct hk_sync_args {
 	char *agent;
 	char *domain;
@@ -170,6 +177,10 @@
 		u_int ends_len;
 		hk_run_end *ends_val;
 	} ends;
+	struct {
+		u_int presses_len;
+		hk_press_row *presses_val;
+	} presses;
 };
 typedef struct hk_sync_args hk_sync_args;
 
@@ -196,13 +207,6 @@
 };
 typedef struct hk_run_id hk_run_id;
 
-struct hk_press_row {
-	char *serving;
-	char *filler;
-	u_int milli;
-};
-typedef struct hk_press_row hk_press_row;
-
 struct hk_sync_reply {
 	bool_t leading;
 	bool_t doubtful;
@@ -326,10 +330,10 @@
 extern  bool_t xdr_hk_end_how (XDR *, hk_end_how*);
 extern  bool_t xdr_hk_run_end (XDR *, hk_run_end*);
 extern  bool_t xdr_hk_label (XDR *, hk_label*);
+extern  bool_t xdr_hk_press_row (XDR *, hk_press_row*);
 extern  bool_t xdr_hk_sync_args (XDR *, hk_sync_args*);
 extern  bool_t xdr_hk_start_order (XDR *, hk_start_order*);
 extern  bool_t xdr_hk_run_id (XDR *, hk_run_id*);
-extern  bool_t xdr_hk_press_row (XDR *, hk_press_row*);
 extern  bool_t xdr_hk_sync_reply (XDR *, hk_sync_reply*);
 extern  bool_t xdr_hk_ask_kind (XDR *, hk_ask_kind*);
 extern  bool_t xdr_hk_ask_args (XDR *, hk_ask_args*);
@@ -349,10 +353,10 @@
 extern bool_t xdr_hk_end_how ();
 extern bool_t xdr_hk_run_end ();
 extern bool_t xdr_hk_label ();
+extern bool_t xdr_hk_press_row ();
 extern bool_t xdr_hk_sync_args ();
 extern bool_t xdr_hk_start_order ();
 extern bool_t xdr_hk_run_id ();
-extern bool_t xdr_hk_press_row ();
 extern bool_t xdr_hk_sync_reply ();
 extern bool_t xdr_hk_ask_kind ();
 extern bool_t xdr_hk_ask_args ();
--- a/include/hyssopkeel/pressure.h
+++ b/include/hyssopkeel/pressure.h
@@ -40,6 +40,22 @@
 void hk_pressure_set (struct hk_pressure *p, const char *serving,
                       const char *filler, double value);
 
+/** hk_pressure_seed() - begin with what another process learned, unless this
+ * one has learned something of the pair itself. */
+void hk_pressure_seed (struct hk_pressure *p, const char *serving,
+                       const char *filler, double value);
+
+/**
+ * hk_pressure_foreach() - visit all pairs that are known.
+ * @p: table, not changed meanwhile.
+ * @visit: called with images, value and @user.
+ */
+void hk_pressure_foreach (const struct hk_pressure *p,
+                          void (*visit) (const char *serving,
+                                         const char *filler, double value,
+                                         void *user),
+                          void *user);
+
 /**
  * hk_pressure_fall() - fall of the headroom that some fillers should cause.
  * @p: table.
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -255,6 +255,18 @@
     }
 }
 
+static void
+take_presses (struct hk_coord *c, const hk_sync_args *args)
+{
+  for (u_int i = 0; i < args->presses.presses_len; i++)
+    {
+      const hk_press_row *row = &args->presses.presses_val[i];
+
+      hk_pressure_seed (&c->pressure, row->serving, row->filler,
+                        row->milli / 1000.0);
+    }
+}
+
 void
 coord_on_sync (struct hk_rpc_request *req, void *data, void *user)
 {
@@ -298,6 +310,7 @@
       = MAX (in->granted_until_ms,
              now + (int64_t)args->hold_left_ms - c->authority.hold_ms);
   describe (in, args, now);
+  take_presses (c, args);
   take_report (l, args, now);
   coord_share_learn (c, in, now);
   reorder_missing (in, now);
--- a/src/policy/pressure.c
+++ b/src/policy/pressure.c
@@ -11,19 +11,44 @@
 /* Pressures drift; this is added to the variance with each observation. */
 #define DRIFT_VARIANCE 0.002
 #define PRESSURE_MAX 40.0
+/* What another process learned may be a few seconds old. */
+#define SEED_VARIANCE 1.0
+/* Pairs that are kept, some 200 bytes each; images come and go. With more, all
+   are learned anew. */
+#define PAIRS_MAX 4096
 
 struct pair
 {
+  char *serving;
+  char *filler;
   double mean;
   double variance;
 };
 
-static const struct pair unknown = { GUESS, GUESS_VARIANCE };
+static const struct pair unknown
+    = { .mean = GUESS, .variance = GUESS_VARIANCE };
+
+static void
+free_pair (gpointer data)
+{
+  struct pair *pair = data;
+
+  g_free (pair->serving);
+  g_free (pair->filler);
+  g_free (pair);
+}
+
+static char *
+key_of (const char *serving, const char *filler)
+{
+  return g_strconcat (serving, "|", filler, NULL);
+}
 
 void
 hk_pressure_init (struct hk_pressure *p)
 {
-  p->pairs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  p->pairs
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_pair);
 }
 
 void
@@ -35,7 +60,7 @@
 static const struct pair *
 find (const struct hk_pressure *p, const char *serving, const char *filler)
 {
-  g_autofree char *key = g_strconcat (serving, "|", filler, NULL);
+  g_autofree char *key = key_of (serving, filler);
   const struct pair *pair = g_hash_table_lookup (p->pairs, key);
 
   return pair ? pair : &unknown;
@@ -44,13 +69,17 @@
 static struct pair *
 claim (struct hk_pressure *p, const char *serving, const char *filler)
 {
-  g_autofree char *key = g_strconcat (serving, "|", filler, NULL);
+  g_autofree char *key = key_of (serving, filler);
   struct pair *pair = g_hash_table_lookup (p->pairs, key);
 
   if (!pair)
     {
+      if (g_hash_table_size (p->pairs) >= PAIRS_MAX)
+        g_hash_table_remove_all (p->pairs);
       pair = g_new (struct pair, 1);
       *pair = unknown;
+      pair->serving = g_strdup (serving);
+      pair->filler = g_strdup (filler);
       g_hash_table_insert (p->pairs, g_steal_pointer (&key), pair);
     }
   return pair;
@@ -70,6 +99,37 @@
   claim (p, serving, filler)->mean = CLAMP (value, 0.0, PRESSURE_MAX);
 }
 
+void
+hk_pressure_seed (struct hk_pressure *p, const char *serving,
+                  const char *filler, double value)
+{
+  struct pair *pair;
+
+  if (find (p, serving, filler) != &unknown)
+    return;
+  pair = claim (p, serving, filler);
+  pair->mean = CLAMP (value, 0.0, PRESSURE_MAX);
+  pair->variance = SEED_VARIANCE;
+}
+
+void
+hk_pressure_foreach (const struct hk_pressure *p,
+                     void (*visit) (const char *serving, const char *filler,
+                                    double value, void *user),
+                     void *user)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, p->pairs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct pair *pair = value;
+
+      visit (pair->serving, pair->filler, pair->mean, user);
+    }
+}
+
 double
 hk_pressure_fall (const struct hk_pressure *p, const char *serving,
                   const struct hk_pressure_use *uses, unsigned n,
--- a/src/rpc/hk_job.x
+++ b/src/rpc/hk_job.x
@@ -109,6 +109,12 @@
   string text<HK_JOB_NAME_MAX>;
 };
 
+struct hk_press_row {
+  string serving<HK_JOB_NAME_MAX>;
+  string filler<HK_JOB_NAME_MAX>;
+  unsigned milli;
+};
+
 struct hk_sync_args {
   string agent<HK_JOB_NAME_MAX>;
   string domain<HK_JOB_NAME_MAX>;
@@ -126,6 +132,7 @@
   unsigned accelerators;
   hk_run_report runs<HK_JOB_TASKS_MAX>;
   hk_run_end ends<HK_JOB_TASKS_MAX>;
+  hk_press_row presses<HK_JOB_TASKS_MAX>; /* for a new coordinator */
 };
 
 struct hk_start_order {
@@ -146,12 +153,6 @@
   unsigned run;
 };
 
-struct hk_press_row {
-  string serving<HK_JOB_NAME_MAX>;
-  string filler<HK_JOB_NAME_MAX>;
-  unsigned milli;
-};
-
 struct hk_sync_reply {
   bool leading;
   bool doubtful;
--- a/src/rpc/hk_job_xdr.c
+++ b/src/rpc/hk_job_xdr.c
@@ -495,6 +495,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hk_press_row (XDR *xdrs, hk_press_row *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->serving, HK_JOB_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->filler, HK_JOB_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->milli))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hk_sync_args (XDR *xdrs, hk_sync_args *objp)
 {
@@ -555,6 +569,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->ends.ends_val, (u_int *) &objp->ends.ends_len, HK_JOB_TASKS_MAX,
 			sizeof (hk_run_end), (xdrproc_t) xdr_hk_run_end))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->presses.presses_val, (u_int *) &objp->presses.presses_len, HK_JOB_TASKS_MAX,
+			sizeof (hk_press_row), (xdrproc_t) xdr_hk_press_row))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->agent, HK_JOB_NAME_MAX))
@@ -610,6 +627,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->ends.ends_val, (u_int *) &objp->ends.ends_len, HK_JOB_TASKS_MAX,
 			sizeof (hk_run_end), (xdrproc_t) xdr_hk_run_end))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->presses.presses_val, (u_int *) &objp->presses.presses_len, HK_JOB_TASKS_MAX,
+			sizeof (hk_press_row), (xdrproc_t) xdr_hk_press_row))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -648,6 +668,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->ends.ends_val, (u_int *) &objp->ends.ends_len, HK_JOB_TASKS_MAX,
 		sizeof (hk_run_end), (xdrproc_t) xdr_hk_run_end))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->presses.presses_val, (u_int *) &objp->presses.presses_len, HK_JOB_TASKS_MAX,
+		sizeof (hk_press_row), (xdrproc_t) xdr_hk_press_row))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -760,20 +783,6 @@
 	return TRUE;
 }
 
-bool_t
-xdr_hk_press_row (XDR *xdrs, hk_press_row *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_string (xdrs, &objp->serving, HK_JOB_NAME_MAX))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->filler, HK_JOB_NAME_MAX))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->milli))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_hk_sync_reply (XDR *xdrs, hk_sync_reply *objp)
 {
--- a/src/runner/runner.h
+++ b/src/runner/runner.h
@@ -97,6 +97,7 @@
   uint64_t max_seq;
   struct hk_timer hold_timer;
   struct hk_pressure pressure;
+  uint64_t pressure_term; /* of the coordinator that knows it */
   int64_t paced_ms;
   int64_t over_since_ms;
 
--- a/src/runner/runner_sync.c
+++ b/src/runner/runner_sync.c
@@ -222,6 +222,7 @@
       return;
     }
   r->term = reply->term;
+  r->pressure_term = reply->term;
   r->sync_ok_ms = now;
   if (reply->doubtful && !r->doubtful)
     hk_timer_set (&r->find_timer, 0, on_find_timer, r);
@@ -270,6 +271,28 @@
   args->accelerators = r->accelerators;
 }
 
+static void
+add_press (const char *serving, const char *filler, double value, void *user)
+{
+  hk_press_row row = { .serving = (char *)serving,
+                       .filler = (char *)filler,
+                       .milli = (u_int)(1000 * value) };
+
+  if (((GArray *)user)->len < HK_JOB_TASKS_MAX)
+    g_array_append_val ((GArray *)user, row);
+}
+
+/* What is learned of images would be lost with its coordinator; the agents
+   tell it to the next. */
+static void
+fill_presses (hk_sync_args *args, const struct hk_runner *r, GArray *rows)
+{
+  if (r->pressure_term != r->term)
+    hk_pressure_foreach (&r->pressure, add_press, rows);
+  args->presses.presses_len = rows->len;
+  args->presses.presses_val = (hk_press_row *)rows->data;
+}
+
 void
 runner_sync_send (struct hk_runner *r)
 {
@@ -278,6 +301,8 @@
   g_autofree hk_run_report *runs = g_new0 (hk_run_report, r->n_runs + 1);
   g_autofree hk_run_end *ends = g_new0 (hk_run_end, r->n_runs + 1);
   g_autofree hk_label *labels = fill_labels (&args, r->labels);
+  g_autoptr (GArray) presses
+      = g_array_new (FALSE, TRUE, sizeof (hk_press_row));
   struct sync *s;
   int64_t now = hk_clock_ms ();
 
@@ -285,6 +310,7 @@
     return;
   fill_endpoint (&args, r, now);
   fill_runs (&args, r, runs, ends);
+  fill_presses (&args, r, presses);
   args.labels.labels_val = labels;
   s = g_new0 (struct sync, 1);
   s->r = r;
--- a/tests/unit/test_share.c
+++ b/tests/unit/test_share.c
@@ -366,6 +366,55 @@
   hk_pressure_finish (&p);
 }
 
+static void
+count_pair (const char *serving, const char *filler, double value, void *user)
+{
+  g_assert_cmpstr (serving, ==, "serving");
+  g_assert_cmpstr (filler, ==, "heavy");
+  g_assert_cmpfloat (value, ==, 8.0);
+  ++*(int *)user;
+}
+
+/* What agents kept of it is worth less than what was seen since. */
+static void
+pressure_outlives_its_coordinator (void)
+{
+  struct hk_pressure agent;
+  struct hk_pressure next;
+  struct hk_pressure_use use = { "heavy", 0.1 };
+  int n = 0;
+
+  hk_pressure_init (&agent);
+  hk_pressure_init (&next);
+  hk_pressure_set (&agent, "serving", "heavy", 8.0);
+  hk_pressure_foreach (&agent, count_pair, &n);
+  g_assert_cmpint (n, ==, 1);
+  hk_pressure_seed (&next, "serving", "heavy", 8.0);
+  g_assert_cmpfloat (hk_pressure_get (&next, "serving", "heavy"), ==, 8.0);
+  hk_pressure_learn (&next, "serving", 0.1, 0.06, &use, 1);
+  hk_pressure_seed (&next, "serving", "heavy", 8.0);
+  g_assert_cmpfloat (hk_pressure_get (&next, "serving", "heavy"), <, 8.0);
+  hk_pressure_finish (&agent);
+  hk_pressure_finish (&next);
+}
+
+/* Images come and go for months. */
+static void
+pairs_are_bounded (void)
+{
+  struct hk_pressure p;
+
+  hk_pressure_init (&p);
+  for (int i = 0; i < 20000; i++)
+    {
+      g_autofree char *image = g_strdup_printf ("%d", i);
+
+      hk_pressure_set (&p, image, "filler", 1.0);
+    }
+  g_assert_cmpuint (g_hash_table_size (p.pairs), <=, 4096);
+  hk_pressure_finish (&p);
+}
+
 /* Grants */
 
 static void
@@ -420,6 +469,8 @@
   ADD (nothing_rises_before_the_figures_show_it);
   ADD (pressure_is_learned_under_a_swinging_load);
   ADD (one_observation_tells_a_heavy_pair);
+  ADD (pressure_outlives_its_coordinator);
+  ADD (pairs_are_bounded);
   ADD (grants_end_with_the_coordinators_own_authority);
   ADD (runs_are_over_before_they_are_given_away);
   return g_test_run ();
