--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -68,6 +68,7 @@
 struct coord_commit
 {
   gboolean in_flight;
+  gboolean prove; /* the next is sent even if nothing changed */
   uint64_t seq;
   int64_t fence_rev;
   int64_t sent_ms;
@@ -178,6 +179,7 @@
 void coord_commit_init (struct hk_coord *c);
 void coord_commit_finish (struct hk_coord *c);
 void coord_commit_next (struct hk_coord *c);
+gboolean coord_commit_proven (struct hk_coord *c, int64_t now);
 void coord_commit_drop_new (struct hk_coord *c);
 gboolean coord_store_failing (const struct hk_coord *c, int64_t now);
 
--- a/src/coord/coord_ask.c
+++ b/src/coord/coord_ask.c
@@ -189,6 +189,16 @@
   coord_kick (c);
 }
 
+/* A successor may know the job: only one that certainly leads may deny it. */
+static void
+answer_unknown (struct hk_coord *c, hk_ask_done done, void *user)
+{
+  if (coord_commit_proven (c, hk_clock_ms ()))
+    reply_now (done, user, HK_ASK_NOT_FOUND, "no such job", 0);
+  else
+    reply_now (done, user, HK_ASK_NOT_LEADING, "is not sure to lead", 0);
+}
+
 static void
 answer_cancel (struct hk_coord *c, const hk_ask_args *args, hk_ask_done done,
                void *user)
@@ -198,7 +208,7 @@
 
   if (!job)
     {
-      reply_now (done, user, HK_ASK_NOT_FOUND, "no such job", 0);
+      answer_unknown (c, done, user);
       return;
     }
   if (hk_engine_wants (job) && coord_store_failing (c, hk_clock_ms ()))
@@ -273,11 +283,13 @@
     }
   job = hk_engine_find (&c->engine, args->id);
   if (!job || job->committed == 0)
-    reply.outcome = HK_ASK_NOT_FOUND;
-  else
-    reply.state = job->shown == HK_JOB_STATE_QUEUED && job->started
-                      ? HK_JOB_STATE_RUNNING
-                      : job->shown;
+    {
+      answer_unknown (c, done, user);
+      return;
+    }
+  reply.state = job->shown == HK_JOB_STATE_QUEUED && job->started
+                    ? HK_JOB_STATE_RUNNING
+                    : job->shown;
   done (&reply, user);
 }
 
--- a/src/coord/coord_commit.c
+++ b/src/coord/coord_commit.c
@@ -14,6 +14,9 @@
 /* An idle coordinator proves that it still leads this often; a third of the
    shortest chain of grants. */
 #define IDLE_COMMIT_MS 700
+/* A successor cannot have taken over and accepted a job in this time: it first
+   waits for the answer to a ping. */
+#define PROVEN_MS 450
 /* Pause after a failed commit, doubled up to the limit. */
 #define RETRY_MIN_MS 15
 #define RETRY_MAX_MS 240
@@ -64,6 +67,18 @@
   return k->in_flight && now - k->sent_ms > FAILING_MS;
 }
 
+/* Whether this process certainly led a moment ago, which one that was frozen
+   cannot know by itself; if not, a commit is made to prove it. */
+gboolean
+coord_commit_proven (struct hk_coord *c, int64_t now)
+{
+  if (now - c->commit.confirmed_ms < PROVEN_MS)
+    return TRUE;
+  c->commit.prove = TRUE;
+  coord_kick (c);
+  return FALSE;
+}
+
 static void
 add (struct build *b, enum hk_store_op_type type, char *key, char *value,
      size_t len)
@@ -292,8 +307,10 @@
 
   if (c->state != COORD_LEADING || k->in_flight || k->retry.iter)
     return;
-  if (c->engine.n_dirty == 0 && now - k->confirmed_ms < IDLE_COMMIT_MS)
+  if (c->engine.n_dirty == 0 && !k->prove
+      && now - k->confirmed_ms < IDLE_COMMIT_MS)
     return;
+  k->prove = FALSE;
   texts = g_ptr_array_new_with_free_func (g_free);
   b.texts = texts;
   k->seq++;
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -38,9 +38,12 @@
   return l;
 }
 
+/* Runs of lifetimes before @born_before are over, but for those that the agent
+   lists in the report of @listed_ms: it makes sure that no start of them still
+   comes. */
 static void
 lose_runs (struct hk_coord *c, struct hk_instance *in, int64_t born_before,
-           const char *why, int64_t now)
+           int64_t listed_ms, const char *why, int64_t now)
 {
   struct hk_run *run;
   struct hk_run *next;
@@ -49,7 +52,7 @@
   for (run = LIST_FIRST (&in->runs); run; run = next)
     {
       next = LIST_NEXT (run, link);
-      if (run->born_ms >= born_before)
+      if (run->born_ms >= born_before || run->reported_ms == listed_ms)
         continue;
       lost++;
       hk_engine_end (run, HK_END_LOST, NULL, now, coord_wall_ms ());
@@ -127,6 +130,9 @@
       add_stray (l, &r->task, r->run);
       return;
     }
+  /* Its start reached the present lifetime after all. */
+  if (r->started)
+    run->born_ms = l->in->born_ms;
   if (!run->started_ms && r->started)
     {
       run->started_ms = now;
@@ -300,7 +306,6 @@
       in->failure_score = 0;
       in->slowness = 1.0;
       in->suspect_until_ms = 0;
-      lose_runs (c, in, in->born_ms, "the endpoint has a new lifetime", now);
     }
   if (!in->heard_ms)
     hk_log (HK_LOG_INFO, "sync", in->name, NULL, "event=agent_seen runs=%u",
@@ -312,6 +317,7 @@
   describe (in, args, now);
   take_presses (c, args);
   take_report (l, args, now);
+  lose_runs (c, in, in->born_ms, now, "the endpoint has a new lifetime", now);
   coord_share_learn (c, in, now);
   reorder_missing (in, now);
   drop_unrevealed (in, now);
@@ -332,6 +338,6 @@
     if (LIST_EMPTY (&in->runs)
         || now <= hk_authority_gone_at (&c->authority, until))
       continue;
-    lose_runs (c, in, G_MAXINT64, "its leases are over", now);
+    lose_runs (c, in, G_MAXINT64, -1, "its leases are over", now);
   }
 }
--- a/src/runner/runner_hold.c
+++ b/src/runner/runner_hold.c
@@ -28,6 +28,15 @@
 static void hold (struct hk_runner *r, int64_t reach_ms, int64_t wait_ms,
                   void (*last) (void *user));
 
+/* A start that a new lifetime may still get. */
+static gboolean
+may_still_come (const struct runner_run *run)
+{
+  return run->state != RUN_ENDED
+         && (run->unanswered
+             || (run->state == RUN_STARTING && run->calls > 0));
+}
+
 /* A new lifetime knows nothing; a start that was not answered may still
    reach it, so it is told to refuse it. */
 void
@@ -46,7 +55,7 @@
   for (run = TAILQ_FIRST (&r->runs); run && r->born_ms; run = next)
     {
       next = TAILQ_NEXT (run, link);
-      if (run->unanswered && run->state != RUN_ENDED)
+      if (may_still_come (run))
         {
           hk_task_id task = run->task;
           unsigned number = run->number;
--- a/src/runner/runner_sync.c
+++ b/src/runner/runner_sync.c
@@ -27,6 +27,7 @@
 {
   struct hk_runner *r;
   int64_t sent_ms;
+  int64_t born_ms; /* lifetime of the endpoint that was reported */
   unsigned generation;
   gboolean leaving;
 };
@@ -144,7 +145,7 @@
 }
 
 static void
-take_orders (struct hk_runner *r, const hk_sync_reply *reply)
+take_orders (struct hk_runner *r, const hk_sync_reply *reply, int64_t born_ms)
 {
   gboolean advanced = reply->noted.noted_len > 0;
 
@@ -167,7 +168,8 @@
   for (u_int i = 0; i < reply->stops.stops_len; i++)
     runner_run_stop (r, &reply->stops.stops_val[i].task,
                      reply->stops.stops_val[i].run);
-  for (u_int i = 0; i < reply->starts.starts_len; i++)
+  /* What was ordered for an earlier lifetime counts as lost since. */
+  for (u_int i = 0; i < reply->starts.starts_len && born_ms == r->born_ms; i++)
     runner_run_order (r, &reply->starts.starts_val[i]);
 }
 
@@ -187,6 +189,7 @@
   const hk_sync_reply *reply = result;
   gboolean current = s->generation == r->sync_generation;
   int64_t sent = s->sent_ms;
+  int64_t born = s->born_ms;
   gboolean leaving = s->leaving;
   int64_t now = hk_clock_ms ();
 
@@ -228,7 +231,7 @@
     hk_timer_set (&r->find_timer, 0, on_find_timer, r);
   r->doubtful = reply->doubtful;
   r->grant_until_ms = MAX (r->grant_until_ms, sent + (int64_t)reply->grant_ms);
-  take_orders (r, reply);
+  take_orders (r, reply, born);
   if (leaving)
     {
       runner_leave_granted (r);
@@ -315,6 +318,7 @@
   s = g_new0 (struct sync, 1);
   s->r = r;
   s->sent_ms = now;
+  s->born_ms = r->born_ms;
   s->generation = r->sync_generation;
   s->leaving = r->leaving;
   r->syncs++;
--- a/tests/coord/test_coord.c
+++ b/tests/coord/test_coord.c
@@ -743,6 +743,34 @@
   memory_store_finish (&s);
 }
 
+/* Found by the soak (seed 2): a coordinator that had been frozen denied a job
+   that its successor had accepted meanwhile. */
+static void
+jobs_are_denied_only_by_who_surely_leads (void)
+{
+  struct memory_store s;
+  struct memory_view view = { 0 };
+  struct hk_coord_options options = HK_COORD_OPTIONS_INIT;
+  struct asked a;
+  struct hk_coord *c;
+
+  memory_store_init (&s);
+  memory_view_init (&view, &s);
+  c = start_with (&view.base, options, "e1", NULL);
+  test_spin (leads, c);
+  /* As after a freeze: the last commit is older than a takeover takes. */
+  view.cut = TRUE;
+  test_spin_for (600);
+  ask (c, HK_ASK_STATE, "1111111111111111", &a);
+  test_spin_for (150);
+  g_assert_cmpint (a.over, ==, 0);
+  view.cut = FALSE;
+  test_spin (is_over, &a);
+  g_assert_cmpint (a.outcome, ==, HK_ASK_NOT_FOUND);
+  hk_coord_free (c);
+  memory_store_finish (&s);
+}
+
 /* Found in the logs of an incident: a coordinator refused work right after a
    takeover, since it knew the backlog and no instances yet. */
 static void
@@ -839,6 +867,8 @@
                    outages_for_all_change_no_leader);
   g_test_add_func ("/coord/weak_leaders_settle_before_they_are_replaced",
                    weak_leaders_settle_before_they_are_replaced);
+  g_test_add_func ("/coord/jobs_are_denied_only_by_who_surely_leads",
+                   jobs_are_denied_only_by_who_surely_leads);
   g_test_add_func ("/coord/cancels_stop_what_runs", cancels_stop_what_runs);
   g_test_add_func ("/coord/jobs_that_no_commit_named_are_refused_soon",
                    jobs_that_no_commit_named_are_refused_soon);
--- a/tests/runner/test_runner.c
+++ b/tests/runner/test_runner.c
@@ -277,6 +277,34 @@
   world_finish (&w);
 }
 
+static gboolean
+two_late (void *user)
+{
+  return ((struct memory_runtime *)user)->late->len >= 2;
+}
+
+/* Found by the soak: the endpoint crashed while a start was on its way, and
+   its next lifetime carried it out beside the run that replaced it. */
+static void
+starts_on_their_way_at_a_crash_run_once (void)
+{
+  struct world w;
+
+  world_init (&w);
+  w.rt.work_ms = 500;
+  w.rt.delay_starts = 2;
+  ask (&w, 0, HK_ASK_SUBMIT);
+  test_spin (two_late, &w.rt);
+  memory_runtime_reborn (&w.rt);
+  report (&w);
+  test_spin (two_alive, &w.rt);
+  memory_runtime_late (&w.rt);
+  finish_job (&w, 0);
+  g_assert_cmpint (w.rt.most, ==, 1);
+  g_assert_cmpint (w.rt.after_done, ==, 0);
+  world_finish (&w);
+}
+
 static void
 failures_are_tried_again (void)
 {
@@ -366,6 +394,7 @@
   ADD (runs_that_a_list_lacks_are_stopped_first);
   ADD (runs_of_a_dead_endpoint_go_elsewhere);
   ADD (a_new_lifetime_loses_what_ran);
+  ADD (starts_on_their_way_at_a_crash_run_once);
   ADD (failures_are_tried_again);
   ADD (agents_that_restart_adopt_what_runs);
   ADD (agents_leave_a_leader_that_is_cut_off);
--- a/tests/support/jobs.c
+++ b/tests/support/jobs.c
@@ -42,8 +42,8 @@
   test_spin (passed, &until);
 }
 
-char *
-test_address (void)
+static char *
+free_address (void)
 {
   g_autoptr (GSocketAddress) any
       = g_inet_socket_address_new_from_string ("127.0.0.1", 0);
@@ -57,6 +57,24 @@
                                               G_INET_SOCKET_ADDRESS (bound)));
 }
 
+char *
+test_address (void)
+{
+  static GHashTable *given;
+  char *address = free_address ();
+
+  if (!given)
+    given = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  /* The system may offer a port again before its first taker listens. */
+  while (g_hash_table_contains (given, address))
+    {
+      g_free (address);
+      address = free_address ();
+    }
+  g_hash_table_add (given, g_strdup (address));
+  return address;
+}
+
 hk_job_spec *
 test_job (const char *id, const unsigned *counts, unsigned flags)
 {
