--- a/include/hyssopkeel/slots.h
+++ b/include/hyssopkeel/slots.h
@@ -68,4 +68,15 @@
 int hk_slots_choose (const struct hk_slots_view *views, unsigned n,
                      const struct hk_slots_need *need);
 
+/**
+ * hk_slots_regroup() - whether a serving task should move.
+ * @from: where it runs, as if it did not.
+ * @to: where it would go, with room for it.
+ *
+ * Moves go only where more tasks of its image are and no more other images, so
+ * that a series of them ends.
+ */
+gboolean hk_slots_regroup (const struct hk_slots_view *from,
+                           const struct hk_slots_view *to);
+
 #endif
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -144,6 +144,7 @@
   TAILQ_HEAD (coord_past_list, coord_past) past;
   int64_t past_ceased_ms; /* last time one of them answered to lead no more */
   gboolean pass_due;
+  int64_t packed_ms; /* last time serving tasks were looked at */
 
   struct hk_engine engine;
   gboolean engine_ready;
@@ -204,6 +205,7 @@
 void coord_questions_drop (struct hk_coord *c);
 
 /* coord_schedule.c */
+struct hk_slots_view;
 void coord_schedule (struct hk_coord *c, int64_t now);
 gboolean coord_place_copy (struct hk_coord *c, struct hk_engine_task *task,
                            int64_t now);
@@ -224,6 +226,13 @@
                          double *burden);
 void coord_share_move (struct hk_coord *c, int64_t now);
 
+gboolean coord_fits (struct hk_coord *c, struct hk_slots_view *v,
+                     struct hk_instance *in, const struct hk_engine_task *task,
+                     int64_t now);
+
+/* coord_pack.c */
+void coord_pack (struct hk_coord *c, int64_t now);
+
 /* coord_straggle.c */
 void coord_straggle (struct hk_coord *c, int64_t now);
 
--- a/src/coord/coord_schedule.c
+++ b/src/coord/coord_schedule.c
@@ -122,24 +122,36 @@
   return used < STARVING_USE * total;
 }
 
+/* Whether a task has room on an instance now; fills its view in. */
+gboolean
+coord_fits (struct hk_coord *c, struct hk_slots_view *v,
+            struct hk_instance *in, const struct hk_engine_task *task,
+            int64_t now)
+{
+  const hk_step_spec *spec = task->step->spec;
+  int64_t room;
+
+  view_of (c, v, in, task, now);
+  room = spec->flags & HK_STEP_FILLS ? v->fill_room_milli : v->cpu_free_milli;
+  return v->usable && room >= (int64_t)spec->cpu_milli
+         && v->memory_free_mb >= (int64_t)spec->memory_mb
+         && v->accelerators_free >= (int64_t)spec->accelerators
+         && (spec->per_instance_max == 0
+             || v->same_step < spec->per_instance_max);
+}
+
 gboolean
 coord_better_place (struct hk_coord *c, const struct hk_engine_task *task,
                     const struct hk_instance *than, int64_t now)
 {
-  const hk_step_spec *spec = task->step->spec;
   struct hk_instance *in;
 
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
   {
     struct hk_slots_view v = { 0 };
 
-    if (in == than)
-      continue;
-    view_of (c, &v, in, task, now);
-    if (v.usable && v.pace >= BETTER_PACE
-        && (spec->flags & HK_STEP_FILLS ? v.fill_room_milli : v.cpu_free_milli)
-               >= (int64_t)spec->cpu_milli
-        && v.memory_free_mb >= (int64_t)spec->memory_mb)
+    if (in != than && coord_fits (c, &v, in, task, now)
+        && v.pace >= BETTER_PACE)
       return TRUE;
   }
   return FALSE;
--- a/src/policy/slots.c
+++ b/src/policy/slots.c
@@ -94,3 +94,13 @@
     }
   return best;
 }
+
+gboolean
+hk_slots_regroup (const struct hk_slots_view *from,
+                  const struct hk_slots_view *to)
+{
+  return to->usable && from->other_images > 0
+         && to->same_image > from->same_image
+         && to->other_images <= from->other_images
+         && to->slowness < SLOWNESS_MAX && to->failing < FAILING_MAX;
+}
--- a/tests/unit/test_share.c
+++ b/tests/unit/test_share.c
@@ -190,6 +190,30 @@
   g_assert_cmpint (hk_slots_choose (v, 3, &serving), ==, 0);
 }
 
+/* Moves end: each goes to more of its own kind and to no more others. */
+static void
+serving_tasks_gather_and_stay (void)
+{
+  struct hk_slots_view from = instance (0);
+  struct hk_slots_view to = instance (20000);
+
+  from.other_images = 1;
+  to.same_image = 2;
+  g_assert_true (hk_slots_regroup (&from, &to));
+  g_assert_false (hk_slots_regroup (&to, &from));
+  to.other_images = 2;
+  g_assert_false (hk_slots_regroup (&from, &to));
+  to.other_images = 0;
+  from.same_image = 2;
+  g_assert_false (hk_slots_regroup (&from, &to));
+  from.same_image = 0;
+  to.slowness = 4.0;
+  g_assert_false (hk_slots_regroup (&from, &to));
+  to.slowness = 1.0;
+  from.other_images = 0;
+  g_assert_false (hk_slots_regroup (&from, &to));
+}
+
 /* What is already placed counts, whether the tails show it yet or not. */
 static void
 expected_pace_counts_what_is_on_its_way (void)
@@ -460,6 +484,7 @@
   ADD (hopeless_work_is_refused_with_a_time_to_return);
   ADD (serving_tasks_are_packed_and_fillers_kept_away);
   ADD (serving_tasks_of_one_image_go_together);
+  ADD (serving_tasks_gather_and_stay);
   ADD (expected_pace_counts_what_is_on_its_way);
   ADD (fillers_wait_rather_than_crawl);
   ADD (bad_instances_are_the_last_choice);
