Lasting tasks leave what drains; following split from leading

Change: while the store answers, lasting tasks of an instance that drains are started elsewhere at once, if there is room; others with checkpoints that would not be done in time shortly before it may go. Test: /runner/lasting_tasks_leave_what_drains (fails before).

--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -72,6 +72,7 @@
   if (coord_store_failing (c, now))
     coord_commit_drop_new (c);
   coord_straggle (c, now);
+  coord_drain (c, now);
   coord_pack (c, now);
   if (c->commit.forgotten->len == 0)
     drop_old_jobs (c);
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -157,9 +157,15 @@
   LIST_HEAD (, coord_question) questions;
 };
 
-/* coord_lead.c */
+/* coord_follow.c */
 void coord_follow_start (struct hk_coord *c);
 void coord_follow_stop (struct hk_coord *c);
+void coord_ping_now (struct hk_coord *c);
+void coord_store_heard (struct hk_coord *c);
+
+/* coord_lead.c */
+gboolean coord_lead_parse (struct hk_coord *c, const struct hk_store_kv *kv);
+void coord_leader_disconnect (struct hk_coord *c);
 void coord_suspect (struct hk_coord *c, const char *why);
 void coord_step_down (struct hk_coord *c, const char *why);
 
@@ -230,6 +236,9 @@
                      struct hk_instance *in, const struct hk_engine_task *task,
                      int64_t now);
 
+/* coord_drain.c */
+void coord_drain (struct hk_coord *c, int64_t now);
+
 /* coord_pack.c */
 void coord_pack (struct hk_coord *c, int64_t now);
 
--- /dev/null
+++ b/tests/coord/coord_support.c
@@ -0,0 +1,162 @@
+/* Coordinators, agents and callers that tests play. */
+#include "coord_support.h"
+
+#include <string.h>
+
+static const struct hk_rpc_method sync_method
+    = { HK_COORD_SYNC, (xdrproc_t)xdr_hk_sync_args,
+        (xdrproc_t)xdr_hk_sync_reply, sizeof (hk_sync_reply) };
+
+struct hk_coord *
+coord_start_with (struct hk_store *store, struct hk_coord_options options,
+                  const char *name, char **where)
+{
+  g_autofree char *addr = test_address ();
+  struct hk_error err;
+  struct hk_coord *c;
+
+  options.name = name;
+  options.address = addr;
+  c = hk_coord_new (store, &options);
+  g_assert_cmpint (hk_coord_start (c, &err), ==, HK_OK);
+  if (where)
+    *where = g_steal_pointer (&addr);
+  return c;
+}
+
+struct hk_coord *
+coord_start (struct memory_store *s, const char *name, char **where)
+{
+  struct hk_coord_options options = HK_COORD_OPTIONS_INIT;
+
+  return coord_start_with (&s->base, options, name, where);
+}
+
+gboolean
+leads (void *user)
+{
+  return hk_coord_leading (user);
+}
+
+void
+on_asked (const hk_ask_reply *reply, void *user)
+{
+  struct asked *a = user;
+
+  a->over++;
+  a->outcome = reply->outcome;
+  a->state = reply->state;
+}
+
+gboolean
+is_over (void *user)
+{
+  return ((struct asked *)user)->over > 0;
+}
+
+void
+ask (struct hk_coord *c, hk_ask_kind kind, const char *id, struct asked *a)
+{
+  const unsigned counts[] = { 2, 1, 0 };
+  hk_job_spec *spec = test_job (id, counts, 0);
+  hk_ask_args args
+      = { .kind = kind, .id = (char *)id, .queue = (char *)"batch" };
+
+  memset (a, 0, sizeof *a);
+  if (kind == HK_ASK_SUBMIT)
+    {
+      args.job.job_len = 1;
+      args.job.job_val = spec;
+    }
+  hk_coord_ask (c, &args, 5000, on_asked, a);
+  test_job_free (spec);
+}
+
+static void
+on_synced (int rc, void *result, const struct hk_error *err, void *user)
+{
+  struct agent *a = user;
+  const hk_sync_reply *reply = result;
+
+  (void)err;
+  if (rc == HK_ERR_STOPPED)
+    return;
+  g_assert_cmpint (rc, ==, HK_OK);
+  a->answers++;
+  a->leading = reply->leading;
+  a->term = reply->term;
+  a->grant_ms = reply->grant_ms;
+  a->starts += (int)reply->starts.starts_len;
+  a->stops += (int)reply->stops.stops_len;
+  a->noted += (int)reply->noted.noted_len;
+  for (u_int i = 0; i < reply->starts.starts_len; i++)
+    {
+      hk_run_report *run = &a->runs[a->n_runs++];
+
+      run->task = reply->starts.starts_val[i].task;
+      run->task.job = g_strdup (run->task.job);
+      run->run = reply->starts.starts_val[i].run;
+      run->started = TRUE;
+      run->known = TRUE;
+      run->checkpoint = g_strdup ("");
+      a->last_run = run->run;
+    }
+}
+
+static gboolean
+answered (void *user)
+{
+  return ((struct agent *)user)->answers > 0;
+}
+
+void
+report (struct agent *a)
+{
+  hk_sync_args args = { .agent = (char *)a->name,
+                        .domain = (char *)"d",
+                        .born_ms = 5,
+                        .described = TRUE,
+                        .pool = (char *)"pool",
+                        .cpu_milli = 4000,
+                        .memory_mb = 4000 };
+
+  args.runs.runs_len = a->n_runs;
+  args.runs.runs_val = a->runs;
+  args.ends.ends_len = a->n_ends;
+  args.ends.ends_val = a->ends;
+  a->answers = 0;
+  hk_rpc_call (&a->channel, &sync_method, &args, 3000, on_synced, a);
+  test_spin (answered, a);
+}
+
+gboolean
+two_started (void *user)
+{
+  struct agent *a = user;
+
+  if (a->starts >= 2)
+    return TRUE;
+  report (a);
+  return a->starts >= 2;
+}
+
+void
+agent_init (struct agent *a, const char *name, const char *where)
+{
+  memset (a, 0, sizeof *a);
+  a->name = name;
+  hk_rpc_channel_init (&a->channel, where, HK_COORD_PROGRAM, HK_COORD_V1);
+}
+
+void
+agent_move (struct agent *a, const char *where)
+{
+  hk_rpc_channel_finish (&a->channel);
+  hk_rpc_channel_init (&a->channel, where, HK_COORD_PROGRAM, HK_COORD_V1);
+}
+
+void
+agent_finish (struct agent *a)
+{
+  hk_rpc_channel_finish (&a->channel);
+}
--- a/tests/runner/test_runner.c
+++ b/tests/runner/test_runner.c
@@ -53,7 +53,8 @@
 }
 
 static void
-report_to (struct hk_runner *runner, const struct memory_runtime *rt)
+report_drain (struct hk_runner *runner, const struct memory_runtime *rt,
+              int64_t drain_left_ms)
 {
   char *labels[] = { (char *)"a", NULL };
   struct hk_endpoint_report r = { .born_ms = rt->born_ms,
@@ -62,9 +63,17 @@
                                   .cpu_milli = 4000,
                                   .memory_mb = 4000 };
 
+  r.draining = drain_left_ms > 0;
+  r.drain_left_ms = drain_left_ms;
   hk_runner_report (runner, &r);
 }
 
+static void
+report_to (struct hk_runner *runner, const struct memory_runtime *rt)
+{
+  report_drain (runner, rt, 0);
+}
+
 static void
 report (struct world *w)
 {
@@ -120,10 +129,10 @@
 }
 
 static void
-ask (struct world *w, int who, hk_ask_kind kind)
+ask_for (struct world *w, int who, hk_ask_kind kind, unsigned flags)
 {
   const unsigned counts[] = { 2, 1, 0 };
-  hk_job_spec *spec = test_job (JOB, counts, 0);
+  hk_job_spec *spec = test_job (JOB, counts, flags);
   hk_ask_args args
       = { .kind = kind, .id = (char *)JOB, .queue = (char *)"batch" };
 
@@ -138,6 +147,12 @@
   test_job_free (spec);
 }
 
+static void
+ask (struct world *w, int who, hk_ask_kind kind)
+{
+  ask_for (w, who, kind, 0);
+}
+
 static void
 finish_job (struct world *w, int who)
 {
@@ -261,6 +276,40 @@
   world_finish (&w);
 }
 
+/* Found by a hunt on a grown site: instances left while the store was away,
+   and their lasting tasks were waited for until all leases were over. */
+static void
+lasting_tasks_leave_what_drains (void)
+{
+  struct world w;
+  struct memory_runtime other;
+  struct hk_runner *runner;
+  struct hk_runner_options options = { .name = "a2",
+                                       .domain = "d",
+                                       .authority = { 12000, 1000, 600 },
+                                       .hold_max_ms = 6000 };
+
+  world_init (&w);
+  w.rt.work_ms = 100000;
+  ask_for (&w, 0, HK_ASK_SUBMIT, HK_STEP_LASTS);
+  test_spin (two_alive, &w.rt);
+  memory_runtime_init (&other);
+  other.work_ms = 100000;
+  runner = hk_runner_new (&w.store.base, &other.base, &options);
+  hk_runner_start (runner);
+  report_to (runner, &other);
+  /* The coordinator has heard that they run; the endpoint stays as it is, so
+     that nothing but the notice moves them. */
+  test_spin_for (500);
+  report_drain (w.runner, &w.rt, 10000);
+  test_spin (two_alive, &other);
+  g_assert_cmpint (memory_runtime_alive (&w.rt), ==, 0);
+  hk_runner_free (runner);
+  test_spin_for (120);
+  memory_runtime_finish (&other);
+  world_finish (&w);
+}
+
 static void
 a_new_lifetime_loses_what_ran (void)
 {
@@ -393,6 +442,7 @@
   ADD (late_starts_are_refused);
   ADD (runs_that_a_list_lacks_are_stopped_first);
   ADD (runs_of_a_dead_endpoint_go_elsewhere);
+  ADD (lasting_tasks_leave_what_drains);
   ADD (a_new_lifetime_loses_what_ran);
   ADD (starts_on_their_way_at_a_crash_run_once);
   ADD (failures_are_tried_again);
