--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -7,6 +7,7 @@
 
 #include "hyssopkeel/error.h"
 #include "hyssopkeel/hk_job_xdr.h"
+#include "hyssopkeel/order.h"
 
 enum hk_job_state
 {
@@ -132,6 +133,8 @@
  * @waiting: tasks that wait for placement.
  * @done: tasks that completed.
  * @placement_failed_ms: time at which a task last fitted nowhere.
+ * @image: number of @spec->image in the coordinator's interference model.
+ * @image_generation: generation of the model in which @image is valid.
  */
 struct hk_engine_step
 {
@@ -142,6 +145,8 @@
   unsigned waiting;
   unsigned done;
   int64_t placement_failed_ms;
+  unsigned image;
+  unsigned image_generation;
 };
 
 /**
@@ -166,9 +171,10 @@
  * @steps: one for each step of @spec.
  * @run_time_ratio_sum: sum of measured over declared run time, of
  *                      @run_time_samples finished runs.
- * @order_class: whether it can still meet its objective; see
- *               hk_order_class().
- * @order_key: its key in the job order of the last pass, lower first.
+ * @order: input of the job order, as computed at @order_ms for
+ *         @order_version; owned by the coordinator.
+ * @order_ms: time at which @order was computed.
+ * @order_version: @version for which @order was computed.
  * @dirty: it has changes that no commit carries yet.
  * @user: list of callers that wait for a commit; owned by the coordinator.
  */
@@ -194,8 +200,9 @@
   struct hk_engine_step *steps;
   double run_time_ratio_sum;
   unsigned run_time_samples;
-  unsigned order_class;
-  double order_key;
+  struct hk_order_view order;
+  int64_t order_ms;
+  uint64_t order_version;
   gboolean dirty;
   void *user;
   TAILQ_ENTRY (hk_engine_job) dirty_link;
@@ -233,6 +240,7 @@
  *                  normal.
  * @suspect_until_ms: time at which @failure_rate and @run_time_ratio expire.
  * @runs: runs placed here whose end has not been seen.
+ * @changes: rises with each change of @runs and each report.
  * @link: connection state, owned by the coordinator.
  */
 struct hk_instance
@@ -265,6 +273,7 @@
   double run_time_ratio;
   int64_t suspect_until_ms;
   LIST_HEAD (, hk_run) runs;
+  uint64_t changes;
   void *link;
   TAILQ_ENTRY (hk_instance) next;
 };
@@ -282,6 +291,7 @@
  * @ended: jobs that have ended and are still kept.
  * @dirty: @n_dirty jobs with changes to commit, oldest change first.
  * @instance_list: the same as @instances, in order of creation.
+ * @cursor: next instance in turn as a candidate; NULL for the first one.
  */
 struct hk_engine
 {
@@ -291,6 +301,7 @@
   TAILQ_HEAD (, hk_engine_job) ended;
   TAILQ_HEAD (, hk_engine_job) dirty;
   TAILQ_HEAD (hk_instance_list, hk_instance) instance_list;
+  struct hk_instance *cursor;
   unsigned n_dirty;
 };
 
@@ -366,6 +377,9 @@
                         const char *checkpoint, int64_t now_ms,
                         int64_t wall_ms);
 
+/** hk_engine_run_stop() - mark a run to be stopped; the order is sent anew. */
+void hk_engine_run_stop (struct hk_run *run);
+
 /** hk_engine_run_find() - look a run up by number; NULL if there is none. */
 struct hk_run *hk_engine_run_find (struct hk_engine_task *task,
                                    unsigned number);
--- a/include/hyssopkeel/interference_model.h
+++ b/include/hyssopkeel/interference_model.h
@@ -3,9 +3,16 @@
 
 #include <glib.h>
 
+struct hk_interference_pair;
+
 /**
  * struct hk_interference_model - learned interference between pairs of images.
- * @pairs: "serving|best-effort" image names to the estimate of the pair.
+ * @images: image names to their numbers.
+ * @names: image names by number; owned by @images.
+ * @pairs: matrix of @capacity rows, by number of the serving image, and
+ *         @capacity columns, by number of the best-effort image.
+ * @capacity: rows and columns of @pairs.
+ * @generation: rises when all numbers become invalid, never 0.
  *
  * Headroom of a service task is its target over its tail latency: 1 at the
  * target, more while the task is faster. Tail latency grows as
@@ -17,18 +24,22 @@
  */
 struct hk_interference_model
 {
-  GHashTable *pairs;
+  GHashTable *images;
+  GPtrArray *names;
+  struct hk_interference_pair *pairs;
+  unsigned capacity;
+  unsigned generation;
 };
 
 /**
  * struct hk_interference_source - CPU use of the best-effort tasks of an
  * image.
- * @image: their image; not owned.
+ * @image: number of their image.
  * @cpu_share: CPUs in use over CPUs of the instance, 0 to 1.
  */
 struct hk_interference_source
 {
-  const char *image;
+  unsigned image;
   double cpu_share;
 };
 
@@ -38,6 +49,23 @@
 /** hk_interference_model_finish() - free the estimates. */
 void hk_interference_model_finish (struct hk_interference_model *model);
 
+/**
+ * hk_interference_model_image() - number of an image, assigned if it has none.
+ *
+ * When too many images have numbers, all estimates are dropped first, all
+ * other numbers become invalid, and the generation rises.
+ *
+ * Return: number, from 0.
+ */
+unsigned hk_interference_model_image (struct hk_interference_model *model,
+                                      const char *name);
+
+/**
+ * hk_interference_model_at() - like hk_interference_model_get(), by numbers.
+ */
+double hk_interference_model_at (const struct hk_interference_model *model,
+                                 unsigned serving, unsigned best_effort);
+
 /**
  * hk_interference_model_get() - estimated interference of a pair of images.
  *
@@ -75,7 +103,7 @@
 /**
  * hk_interference_model_predict() - headroom that a service task loses.
  * @model: model.
- * @serving_image: image of the service task.
+ * @serving: number of the image of the service task.
  * @sources: CPU use of the best-effort tasks on its instance, by image.
  * @n: number of @sources.
  * @variance: set to the variance of the prediction, squared headroom.
@@ -84,22 +112,21 @@
  */
 double
 hk_interference_model_predict (const struct hk_interference_model *model,
-                               const char *serving_image,
+                               unsigned serving,
                                const struct hk_interference_source *sources,
                                unsigned n, double *variance);
 
 /**
  * hk_interference_model_update() - learn from one observation.
  * @model: model.
- * @serving_image: image of the service task.
+ * @serving: number of the image of the service task.
  * @loss: headroom that the task would have alone, less what it has.
  * @noise: variance of @loss, squared headroom.
  * @sources: CPU use of the best-effort tasks on its instance, by image.
  * @n: number of @sources.
  */
 void hk_interference_model_update (
-    struct hk_interference_model *model, const char *serving_image,
-    double loss, double noise, const struct hk_interference_source *sources,
-    unsigned n);
+    struct hk_interference_model *model, unsigned serving, double loss,
+    double noise, const struct hk_interference_source *sources, unsigned n);
 
 #endif
--- a/include/hyssopkeel/job_placement.h
+++ b/include/hyssopkeel/job_placement.h
@@ -69,6 +69,18 @@
   gboolean usable;
 };
 
+/**
+ * hk_job_place_score() - rate an instance for a task.
+ * @v: instance.
+ * @need: task.
+ * @score: set if the task fits; higher is better.
+ *
+ * Return: TRUE if the task fits.
+ */
+gboolean hk_job_place_score (const struct hk_job_place_view *v,
+                             const struct hk_job_place_need *need,
+                             double *score);
+
 /**
  * hk_job_place_choose() - choose an instance for a task.
  * @views: @n instances.
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -27,26 +27,33 @@
   return TRUE;
 }
 
+/* What is placed while a commit is in flight could not be sent before that
+   ends, and the end calls for a pass of its own. */
 static void
 on_pass (void *user)
 {
   struct hk_coord *c = user;
 
-  c->pass_due = FALSE;
-  if (c->state != COORD_LEADING)
+  if (c->state != COORD_LEADING || c->commit.in_flight)
     return;
-  coord_best_effort_requeue (c, hk_clock_ms ());
   coord_schedule (c, hk_clock_ms ());
   coord_commit_next (c);
 }
 
 void
-coord_pass_schedule (struct hk_coord *c)
+coord_pass_schedule_in (struct hk_coord *c, int64_t delay_ms)
 {
-  if (c->pass_due || c->state != COORD_LEADING)
+  if (c->state != COORD_LEADING
+      || (c->pass_timer.iter
+          && c->pass_timer.due_ms <= hk_clock_ms () + delay_ms))
     return;
-  c->pass_due = TRUE;
-  hk_timer_set (&c->pass_timer, 0, on_pass, c);
+  hk_timer_set (&c->pass_timer, delay_ms, on_pass, c);
+}
+
+void
+coord_pass_schedule (struct hk_coord *c)
+{
+  coord_pass_schedule_in (c, 0);
 }
 
 static void
@@ -75,6 +82,7 @@
     coord_commit_drop_unsent (c);
   coord_stragglers_check (c, now);
   coord_drain (c, now);
+  coord_best_effort_relocate (c, now);
   coord_consolidate (c, now);
   if (c->commit.expired->len == 0)
     ended_job_expire (c);
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -11,6 +11,8 @@
 #include "hyssopkeel/log.h"
 #include "hyssopkeel/metrics.h"
 #include "hyssopkeel/interference_model.h"
+#include "hyssopkeel/job_placement.h"
+#include "hyssopkeel/pass_budget.h"
 #include "hyssopkeel/rpc_channel.h"
 #include "hyssopkeel/rpc_server.h"
 #include "hyssopkeel/timer.h"
@@ -49,6 +51,35 @@
   int64_t acknowledged_ms;
 };
 
+/* Service runs of one image on an instance. */
+struct coord_service_image
+{
+  unsigned image;
+  unsigned n_runs;
+  gboolean sampled;    /* a tail latency is known */
+  double headroom;     /* least baseline headroom */
+  double headroom_low; /* least recent minimum of it */
+};
+
+struct coord_best_effort_load
+{
+  unsigned image;
+  unsigned cpu_milli;
+};
+
+/* Images that share an instance, valid for one value of its @changes and one
+   generation of the interference model. */
+struct coord_sharing
+{
+  gboolean valid;
+  uint64_t changes;
+  unsigned generation;
+  GArray *services;       /* of coord_service_image */
+  GArray *best_effort;    /* of coord_best_effort_load, one for each run */
+  double requested_milli; /* CPUs declared by best-effort runs */
+  double effective_milli; /* the same, scaled by their speeds */
+};
+
 /* Connection state of one agent. */
 struct coord_link
 {
@@ -61,6 +92,11 @@
   struct hk_timer park_timer;
   GArray *ends;    /* of coord_end, from the last report */
   GArray *orphans; /* of hk_run_id, reported but not placed there */
+  /* The runs had nothing to order and no end to acknowledge at this value of
+     the instance's @changes. */
+  uint64_t settled_changes;
+  int64_t target_ms; /* last time a run was relocated to make use of it */
+  struct coord_sharing sharing;
 };
 
 /* Commits are sent one at a time. Each compares the revision of the fence, so
@@ -143,7 +179,6 @@
   struct hk_timer predecessor_timer;
   TAILQ_HEAD (coord_predecessor_list, coord_predecessor) predecessors;
   int64_t predecessor_ceased_ms; /* last answer of one that it does not lead */
-  gboolean pass_due;
   int64_t consolidated_ms; /* last time service tasks were consolidated */
 
   struct hk_engine engine;
@@ -155,6 +190,31 @@
   GHashTable *mean_work;
   struct hk_interference_model interference_model;
   LIST_HEAD (, coord_request) requests;
+
+  /* memory of struct coord_pass */
+  struct hk_job_place_view candidate_views[HK_PASS_CANDIDATES_MAX];
+  struct hk_instance *candidate_instances[HK_PASS_CANDIDATES_MAX];
+  double candidate_scores[HK_PASS_CANDIDATES_MAX];
+};
+
+/* One scheduling pass. @need and the candidates belong to the step whose tasks
+   are being placed. */
+struct coord_pass
+{
+  struct hk_coord *c;
+  int64_t now;
+  int64_t retry_ms;      /* pause after a failed placement */
+  unsigned n_steps;      /* best-effort steps tried */
+  unsigned n_placed;     /* tasks placed */
+  gboolean exhausted;    /* best-effort steps were left to the next pass */
+  double used_cpu_milli; /* of all instances, without best-effort runs */
+  double cpu_milli;      /* of all instances */
+  struct hk_pass_failures failures;
+  struct hk_job_place_need need;
+  struct hk_job_place_view *views;
+  struct hk_instance **instances;
+  double *scores; /* -INFINITY where the task does not fit */
+  unsigned n;
 };
 
 /* coord_follow.c */
@@ -212,14 +272,22 @@
 void coord_requests_drop (struct hk_coord *c);
 
 /* coord_schedule.c */
-struct hk_job_place_view;
 void coord_schedule (struct hk_coord *c, int64_t now);
+
+/* coord_candidates.c */
+void coord_pass_init (struct coord_pass *p, struct hk_coord *c, int64_t now);
+void coord_pass_begin_step (struct coord_pass *p,
+                            const struct hk_engine_task *task);
+gboolean coord_pass_place (struct coord_pass *p, struct hk_engine_task *task);
 gboolean coord_place_speculative (struct hk_coord *c,
                                   struct hk_engine_task *task, int64_t now);
 gboolean coord_has_better_instance (struct hk_coord *c,
                                     const struct hk_engine_task *task,
                                     const struct hk_instance *current,
                                     int64_t now);
+gboolean coord_task_fits (struct hk_coord *c, struct hk_job_place_view *v,
+                          struct hk_instance *in,
+                          const struct hk_engine_task *task, int64_t now);
 
 /* coord_interference.c */
 int64_t coord_best_effort_free_milli (const struct hk_instance *in);
@@ -227,18 +295,27 @@
                                int64_t now);
 void coord_interference_send (struct hk_coord *c, struct coord_link *l,
                               GArray *rows, int64_t now);
-void coord_count_service_images (const struct hk_instance *in,
-                                 const char *image, unsigned *same,
-                                 unsigned *others);
+/* Whether a run has started and its step has a latency target and is not
+   best-effort. */
+gboolean coord_is_service_run (const struct hk_run *run);
+gboolean coord_is_best_effort_run (const struct hk_run *run);
+
+/* coord_relocate.c */
+void coord_best_effort_relocate (struct hk_coord *c, int64_t now);
+
+/* coord_sharing.c */
+void coord_sharing_init (struct coord_sharing *s);
+void coord_sharing_finish (struct coord_sharing *s);
+const struct coord_sharing *coord_sharing_of (struct hk_coord *c,
+                                              const struct hk_instance *in);
+unsigned coord_step_image (struct hk_coord *c, struct hk_engine_step *step);
+void coord_count_service_images (struct hk_coord *c,
+                                 const struct hk_instance *in, unsigned image,
+                                 unsigned *same, unsigned *others);
 void coord_best_effort_expect (struct hk_coord *c,
                                const struct hk_instance *in,
-                               const hk_step_spec *spec, double *speed_share,
-                               double *headroom_fraction);
-void coord_best_effort_requeue (struct hk_coord *c, int64_t now);
-
-gboolean coord_task_fits (struct hk_coord *c, struct hk_job_place_view *v,
-                          struct hk_instance *in,
-                          const struct hk_engine_task *task, int64_t now);
+                               struct hk_engine_step *step,
+                               double *speed_share, double *headroom_fraction);
 
 /* coord_drain.c */
 void coord_drain (struct hk_coord *c, int64_t now);
@@ -250,15 +327,14 @@
 void coord_stragglers_check (struct hk_coord *c, int64_t now);
 
 /* coord_estimate.c */
-struct hk_order_view;
 void coord_estimates_init (struct hk_coord *c);
-void coord_order_view (struct hk_coord *c, const struct hk_engine_job *job,
-                       int64_t now, struct hk_order_view *out);
+void coord_order_update (struct hk_coord *c, struct hk_engine_job *job,
+                         int64_t now);
 void coord_estimate_learn (struct hk_coord *c, const struct hk_run *run,
                            hk_end_how how, int64_t now);
 int64_t coord_estimate_ms (struct hk_coord *c,
                            const struct hk_engine_step *step);
-double coord_best_effort_cores (const struct hk_coord *c);
+double coord_best_effort_cores (struct hk_coord *c);
 gboolean coord_admit (struct hk_coord *c, const hk_job_spec *spec,
                       unsigned *retry_after_s, const char **reason);
 
@@ -266,6 +342,7 @@
 gboolean coord_isolated (const struct hk_coord *c, int64_t now);
 gboolean coord_store_call_end (struct hk_coord *c);
 void coord_pass_schedule (struct hk_coord *c);
+void coord_pass_schedule_in (struct hk_coord *c, int64_t delay_ms);
 int64_t coord_wall_ms (void);
 
 #endif
--- /dev/null
+++ b/src/coord/coord_candidates.c
@@ -0,0 +1,267 @@
+/* The instances that may take a task, as src/policy sees them, and the choice
+   among them. */
+#include "coord.h"
+
+#include <math.h>
+
+#include "hyssopkeel/job_placement.h"
+#include "hyssopkeel/pass_budget.h"
+
+/* An instance whose last report is older than this gets no new runs. */
+#define REPORT_AGE_MAX_MS 900
+/* A task that has been ready for this long, of a job without any run, counts
+   as starving and is placed however slow it will be, while less than
+   STARVING_CPU_SHARE_MAX of all CPUs are allocated to tasks that are not
+   best-effort. */
+#define STARVING_AFTER_MS 900
+#define STARVING_CPU_SHARE_MAX 0.55
+/* A best-effort task is moved only to an instance that allows it at least this
+   share of its full speed. */
+#define MOVE_SPEED_SHARE_MIN 0.85
+
+static gboolean
+has_label (const struct hk_instance *in, const char *label)
+{
+  return !label || !*label
+         || (in->labels
+             && g_strv_contains ((const char *const *)in->labels, label));
+}
+
+static unsigned
+count_step_runs (const struct hk_instance *in,
+                 const struct hk_engine_step *step)
+{
+  const struct hk_run *run;
+  unsigned n = 0;
+
+  LIST_FOREACH (run, &in->runs, link)
+  if (run->task->step == step)
+    n++;
+  return n;
+}
+
+/* Fills in what runs on the instance already, and for a best-effort task the
+   expected interference with it. */
+static void
+view_interference (struct hk_coord *c, struct hk_job_place_view *v,
+                   const struct hk_instance *in, struct hk_engine_step *step)
+{
+  unsigned flags = step->spec->flags;
+
+  v->has_service = in->service_cpu_milli > 0;
+  v->best_effort_free_milli = coord_best_effort_free_milli (in);
+  v->expected_speed = 1.0;
+  if (flags & HK_STEP_BEST_EFFORT && v->has_service)
+    coord_best_effort_expect (c, in, step, &v->expected_speed,
+                              &v->headroom_fraction);
+  if (flags & HK_STEP_SERVICE)
+    coord_count_service_images (c, in, coord_step_image (c, step),
+                                &v->same_image, &v->other_images);
+}
+
+/* A speculative attempt on the instance of the first one would be slowed by
+   the same cause. */
+static gboolean
+has_run_on (const struct hk_engine_task *task, const struct hk_instance *in)
+{
+  for (int i = 0; i < HK_RUNS_PER_TASK; i++)
+    if (task->runs[i] && task->runs[i]->instance == in)
+      return TRUE;
+  return FALSE;
+}
+
+static gboolean
+accepts_runs (const struct hk_instance *in, const struct hk_engine_step *step,
+              int64_t now)
+{
+  return in->capacity_known && !in->draining && !in->leaving && in->link
+         && now - in->last_report_ms < REPORT_AGE_MAX_MS
+         && strcmp (in->pool, step->job->spec.pool) == 0
+         && has_label (in, step->spec->label);
+}
+
+/* The caller has zeroed @v and knows that the instance accepts runs. */
+static void
+view_instance (struct hk_coord *c, struct hk_job_place_view *v,
+               struct hk_instance *in, struct hk_engine_step *step,
+               int64_t now)
+{
+  v->usable = TRUE;
+  v->cpu_milli = in->cpu_milli;
+  v->cpu_free_milli = (int64_t)in->cpu_milli - in->used_cpu_milli;
+  v->memory_free_mb = (int64_t)in->memory_mb - in->used_memory_mb;
+  v->accelerators_free = (int64_t)in->accelerators - in->used_accelerators;
+  v->best_effort_cpu_milli = in->best_effort_cpu_milli;
+  if (in->suspect_until_ms < now)
+    {
+      /* The observations have expired, so the instance is tried again. */
+      in->failure_rate = 0;
+      in->run_time_ratio = 1.0;
+    }
+  v->run_time_ratio = in->run_time_ratio;
+  v->failure_rate = in->failure_rate;
+  view_interference (c, v, in, step);
+  if (step->spec->per_instance_max > 0)
+    v->same_step = count_step_runs (in, step);
+}
+
+/* Whether the free capacity of an instance is enough for a task now. Fills in
+   @v, which the caller has zeroed, if the instance accepts runs at all. */
+gboolean
+coord_task_fits (struct hk_coord *c, struct hk_job_place_view *v,
+                 struct hk_instance *in, const struct hk_engine_task *task,
+                 int64_t now)
+{
+  const hk_step_spec *spec = task->step->spec;
+  int64_t free_milli;
+
+  if (has_run_on (task, in) || !accepts_runs (in, task->step, now))
+    return FALSE;
+  view_instance (c, v, in, task->step, now);
+  free_milli = spec->flags & HK_STEP_BEST_EFFORT ? v->best_effort_free_milli
+                                                 : v->cpu_free_milli;
+  return free_milli >= (int64_t)spec->cpu_milli
+         && v->memory_free_mb >= (int64_t)spec->memory_mb
+         && v->accelerators_free >= (int64_t)spec->accelerators
+         && (spec->per_instance_max == 0
+             || v->same_step < spec->per_instance_max);
+}
+
+gboolean
+coord_has_better_instance (struct hk_coord *c,
+                           const struct hk_engine_task *task,
+                           const struct hk_instance *current, int64_t now)
+{
+  struct hk_instance *in;
+
+  TAILQ_FOREACH (in, &c->engine.instance_list, next)
+  {
+    struct hk_job_place_view v = { 0 };
+
+    if (in != current && coord_task_fits (c, &v, in, task, now)
+        && v.expected_speed >= MOVE_SPEED_SHARE_MIN)
+      return TRUE;
+  }
+  return FALSE;
+}
+
+void
+coord_pass_init (struct coord_pass *p, struct hk_coord *c, int64_t now)
+{
+  const struct hk_instance *in;
+
+  memset (p, 0, sizeof *p);
+  p->c = c;
+  p->now = now;
+  p->views = c->candidate_views;
+  p->instances = c->candidate_instances;
+  p->scores = c->candidate_scores;
+  TAILQ_FOREACH (in, &c->engine.instance_list, next)
+  if (in->capacity_known)
+    {
+      p->used_cpu_milli += in->used_cpu_milli;
+      p->cpu_milli += in->cpu_milli;
+    }
+}
+
+static gboolean
+is_starving (const struct coord_pass *p, const struct hk_engine_task *task)
+{
+  return task->step->job->n_runs == 0
+         && p->now - task->ready_ms >= STARVING_AFTER_MS
+         && p->used_cpu_milli < STARVING_CPU_SHARE_MAX * p->cpu_milli;
+}
+
+/* Candidates are taken in turn if there are more than a pass may look at. */
+static void
+collect_candidates (struct coord_pass *p, const struct hk_engine_task *task)
+{
+  struct hk_engine *e = &p->c->engine;
+  struct hk_instance *first
+      = e->cursor ? e->cursor : TAILQ_FIRST (&e->instance_list);
+  struct hk_instance *in = first;
+
+  p->n = 0;
+  while (in && p->n < HK_PASS_CANDIDATES_MAX)
+    {
+      if (!has_run_on (task, in) && accepts_runs (in, task->step, p->now))
+        {
+          p->views[p->n] = (struct hk_job_place_view){ 0 };
+          view_instance (p->c, &p->views[p->n], in, task->step, p->now);
+          p->instances[p->n++] = in;
+        }
+      in = TAILQ_NEXT (in, next);
+      if (!in)
+        in = TAILQ_FIRST (&e->instance_list);
+      if (in == first)
+        return;
+    }
+  e->cursor = in;
+}
+
+static void
+score_candidate (struct coord_pass *p, unsigned i)
+{
+  if (!hk_job_place_score (&p->views[i], &p->need, &p->scores[i]))
+    p->scores[i] = -INFINITY;
+}
+
+/* Prepares the candidates for the tasks of one step that wait. */
+void
+coord_pass_begin_step (struct coord_pass *p, const struct hk_engine_task *task)
+{
+  const hk_step_spec *spec = task->step->spec;
+
+  p->need = (struct hk_job_place_need){
+    .cpu_milli = spec->cpu_milli,
+    .memory_mb = spec->memory_mb,
+    .accelerators = spec->accelerators,
+    .best_effort = (spec->flags & HK_STEP_BEST_EFFORT) != 0,
+    .is_service = (spec->flags & HK_STEP_SERVICE) != 0,
+    .per_instance_max = spec->per_instance_max,
+    .starving = is_starving (p, task),
+  };
+  collect_candidates (p, task);
+  for (unsigned i = 0; i < p->n; i++)
+    score_candidate (p, i);
+}
+
+/* Places a task of the step on the best candidate. Returns FALSE if the task
+   fits nowhere now. */
+gboolean
+coord_pass_place (struct coord_pass *p, struct hk_engine_task *task)
+{
+  gboolean starving = is_starving (p, task);
+  unsigned best = 0;
+
+  if (starving != p->need.starving)
+    {
+      p->need.starving = starving;
+      for (unsigned i = 0; i < p->n; i++)
+        score_candidate (p, i);
+    }
+  for (unsigned i = 1; i < p->n; i++)
+    if (p->scores[i] > p->scores[best])
+      best = i;
+  if (p->n == 0 || isinf (p->scores[best]))
+    return FALSE;
+  hk_engine_task_place (task, p->instances[best], p->now);
+  if (!p->need.best_effort)
+    p->used_cpu_milli += p->need.cpu_milli;
+  p->views[best] = (struct hk_job_place_view){ 0 };
+  view_instance (p->c, &p->views[best], p->instances[best], task->step,
+                 p->now);
+  score_candidate (p, best);
+  return TRUE;
+}
+
+gboolean
+coord_place_speculative (struct hk_coord *c, struct hk_engine_task *task,
+                         int64_t now)
+{
+  struct coord_pass p;
+
+  coord_pass_init (&p, c, now);
+  coord_pass_begin_step (&p, task);
+  return coord_pass_place (&p, task);
+}
--- a/src/coord/coord_consolidate.c
+++ b/src/coord/coord_consolidate.c
@@ -32,11 +32,11 @@
 
 /* Counts the images on @in as if @run were not there. */
 static void
-count_images (struct hk_job_place_view *v, const struct hk_instance *in,
-              const struct hk_run *run)
+count_images (struct hk_coord *c, struct hk_job_place_view *v,
+              const struct hk_instance *in, const struct hk_run *run)
 {
-  coord_count_service_images (in, run->task->step->spec->image, &v->same_image,
-                              &v->other_images);
+  coord_count_service_images (c, in, coord_step_image (c, run->task->step),
+                              &v->same_image, &v->other_images);
   if (run->instance == in)
     v->same_image--;
 }
@@ -47,7 +47,7 @@
   struct hk_job_place_view from = { 0 };
   struct hk_instance *in;
 
-  count_images (&from, run->instance, run);
+  count_images (c, &from, run->instance, run);
   if (from.other_images == 0)
     return FALSE;
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
@@ -56,7 +56,7 @@
 
     if (in == run->instance || !coord_task_fits (c, &to, in, run->task, now))
       continue;
-    count_images (&to, in, run);
+    count_images (c, &to, in, run);
     if (hk_job_place_should_move (&from, &to))
       return TRUE;
   }
@@ -92,8 +92,7 @@
             "event=consolidated step=%u index=%u run=%u image=%s",
             run->task->step->index, run->task->index, run->number,
             run->task->step->spec->image);
-    run->to_stop = TRUE;
-    run->ordered_ms = 0;
+    hk_engine_run_stop (run);
     coord_link_reply (in->link, FALSE);
     return;
   }
--- a/src/coord/coord_drain.c
+++ b/src/coord/coord_drain.c
@@ -73,8 +73,7 @@
                 "left_ms=%" G_GINT64_FORMAT,
                 run->task->step->index, run->task->index, run->number,
                 run->progress_percent, in->drain_until_ms - now);
-        run->to_stop = TRUE;
-        run->ordered_ms = 0;
+        hk_engine_run_stop (run);
       }
     if (in->link)
       coord_link_reply (in->link, FALSE);
--- a/src/coord/coord_estimate.c
+++ b/src/coord/coord_estimate.c
@@ -24,6 +24,11 @@
 /* Weight of PRIOR_SPEED_SHARE, as a share of the CPUs that best-effort
    tasks can use. */
 #define PRIOR_WEIGHT 0.3
+/* The order's input of an unchanged job is computed again after this time:
+   tasks report progress about three times a second, and learned run times
+   change slowly. */
+#define ORDER_VIEW_AGE_MAX_MS 250
+#define ORDER_VIEW_IDLE_AGE_MAX_MS 2000
 
 struct estimate
 {
@@ -205,19 +210,29 @@
   *mean += QUEUE_SAMPLE_WEIGHT * (work - *mean);
 }
 
+/* Only the age changes between two calls for the same version of a job, but
+   for its progress and the learned run times. */
 void
-coord_order_view (struct hk_coord *c, const struct hk_engine_job *job,
-                  int64_t now, struct hk_order_view *out)
+coord_order_update (struct hk_coord *c, struct hk_engine_job *job, int64_t now)
 {
-  out->urgency = job->spec.urgency;
-  out->is_service = is_service_job (job);
-  out->age_ms = now - job->accepted_ms;
-  out->objective_ms
-      = compute_objective_ms (&job->spec, critical_path_ms (c, job, FALSE));
-  out->critical_path_ms = critical_path_ms (c, job, TRUE);
-  out->work_core_ms = total_work (c, &job->spec);
-  out->remaining_core_ms = compute_remaining_work (c, job);
-  out->mean_core_ms = mean_work (c, job->spec.queue);
+  struct hk_order_view *v = &job->order;
+  int64_t age_max_ms
+      = job->n_runs > 0 ? ORDER_VIEW_AGE_MAX_MS : ORDER_VIEW_IDLE_AGE_MAX_MS;
+
+  if (job->order_version != job->version || now - job->order_ms > age_max_ms)
+    {
+      job->order_version = job->version;
+      job->order_ms = now;
+      v->urgency = job->spec.urgency;
+      v->is_service = is_service_job (job);
+      v->objective_ms = compute_objective_ms (
+          &job->spec, critical_path_ms (c, job, FALSE));
+      v->critical_path_ms = critical_path_ms (c, job, TRUE);
+      v->work_core_ms = total_work (c, &job->spec);
+      v->remaining_core_ms = compute_remaining_work (c, job);
+      v->mean_core_ms = mean_work (c, job->spec.queue);
+    }
+  v->age_ms = now - job->accepted_ms;
 }
 
 static gboolean
@@ -229,27 +244,24 @@
 /* CPUs that best-effort tasks can use now, scaled by the mean speed of
    those that run. */
 double
-coord_best_effort_cores (const struct hk_coord *c)
+coord_best_effort_cores (struct hk_coord *c)
 {
   const struct hk_instance *in;
-  const struct hk_run *run;
   double available_milli = 0;
   double requested = 0;
   double effective = 0;
 
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
   {
+    const struct coord_sharing *s;
+
     if (!in->capacity_known || in->draining)
       continue;
+    s = coord_sharing_of (c, in);
     available_milli += (double)coord_best_effort_free_milli (in)
                        + in->best_effort_cpu_milli;
-    LIST_FOREACH (run, &in->runs, link)
-    if (run->task->step->spec->flags & HK_STEP_BEST_EFFORT)
-      {
-        requested += run->task->step->spec->cpu_milli;
-        effective
-            += run->task->step->spec->cpu_milli * run->speed_percent / 100.0;
-      }
+    requested += s->requested_milli;
+    effective += s->effective_milli;
   }
   /* The speeds of a few runs say little about those of more runs. */
   requested += available_milli * PRIOR_WEIGHT;
@@ -262,8 +274,7 @@
              unsigned *retry_after_s, const char **reason)
 {
   struct hk_admission_view v = { 0 };
-  const struct hk_engine_job *job;
-  struct hk_order_view order;
+  struct hk_engine_job *job;
   struct hk_engine_step step = { 0 };
   struct hk_engine_job probe = { .spec = *spec };
   int64_t now = hk_clock_ms ();
@@ -288,9 +299,9 @@
   {
     if (!is_best_effort_job (&job->spec))
       continue;
-    coord_order_view (c, job, now, &order);
-    if (hk_order_class (&order) != HK_ORDER_EXPIRED)
-      v.backlog_core_ms += compute_remaining_work (c, job);
+    coord_order_update (c, job, now);
+    if (hk_order_class (&job->order) != HK_ORDER_EXPIRED)
+      v.backlog_core_ms += job->order.remaining_core_ms;
   }
   v.rate_cores = coord_best_effort_cores (c);
   v.objective_ms = compute_objective_ms (spec, v.critical_path_ms);
--- /dev/null
+++ b/src/coord/coord_relocate.c
@@ -0,0 +1,96 @@
+/* Relocates best-effort runs that are throttled where they are, if another
+   instance would run them faster. Their tasks are queued again and resume from
+   their checkpoints. */
+#include "coord.h"
+
+#include "hyssopkeel/relocation.h"
+
+/* Runs that may be stopped at a time. All their instances then have a free
+   place, and the stops and starts of one tick stay a small share of all. */
+#define RELOCATIONS_MAX 24
+
+static double
+remaining_ms (struct hk_coord *c, const struct hk_run *run)
+{
+  return (double)coord_estimate_ms (c, run->task->step)
+         * (100.0 - MIN (run->progress_percent, 100)) / 100.0;
+}
+
+/* Finds the instance with the highest expected speed for the task of a run,
+   among those that no other run of this tick is to move to. */
+static struct hk_instance *
+find_faster (struct hk_coord *c, const struct hk_run *run, double *speed,
+             int64_t now)
+{
+  struct hk_instance *best = NULL;
+  struct hk_instance *in;
+
+  *speed = 0;
+  TAILQ_FOREACH (in, &c->engine.instance_list, next)
+  {
+    struct hk_job_place_view v = { 0 };
+    const struct coord_link *l = in->link;
+
+    if (in == run->instance || !l || l->target_ms == now
+        || !coord_task_fits (c, &v, in, run->task, now)
+        || v.expected_speed <= *speed)
+      continue;
+    *speed = v.expected_speed;
+    best = in;
+  }
+  return best;
+}
+
+static gboolean
+try_relocate (struct hk_coord *c, struct hk_run *run, int64_t now)
+{
+  const hk_step_spec *spec = run->task->step->spec;
+  struct hk_relocation_view v = { .speed = run->speed_percent / 100.0,
+                                  .slow_ms = now - run->throttled_since_ms,
+                                  .remaining_ms = remaining_ms (c, run) };
+  struct hk_instance *to;
+
+  if (!(spec->flags & HK_STEP_CHECKPOINTS))
+    v.lost_ms = (double)coord_estimate_ms (c, run->task->step)
+                * run->progress_percent / 100.0;
+  v.expected_speed = 1.0;
+  if (!hk_relocation_pays (&v))
+    return FALSE;
+  to = find_faster (c, run, &v.expected_speed, now);
+  if (!to || !hk_relocation_pays (&v))
+    return FALSE;
+  ((struct coord_link *)to->link)->target_ms = now;
+  hk_log (
+      HK_LOG_INFO, "share", run->instance->name, run->task->step->job->spec.id,
+      "event=moved step=%u index=%u run=%u pace=%u percent=%u "
+      "slow_ms=%" G_GINT64_FORMAT " expected=%.2f",
+      run->task->step->index, run->task->index, run->number,
+      run->speed_percent, run->progress_percent, v.slow_ms, v.expected_speed);
+  hk_engine_run_stop (run);
+  return TRUE;
+}
+
+void
+coord_best_effort_relocate (struct hk_coord *c, int64_t now)
+{
+  unsigned n = 0;
+  struct hk_instance *in;
+  struct hk_run *run;
+
+  if (coord_store_failing (c, now))
+    return;
+  TAILQ_FOREACH (in, &c->engine.instance_list, next)
+  LIST_FOREACH (run, &in->runs, link)
+  {
+    if (!coord_is_best_effort_run (run) || run->to_stop
+        || run->speed_percent > 100 * HK_RELOCATION_SPEED_MAX)
+      {
+        run->throttled_since_ms = 0;
+        continue;
+      }
+    if (!run->throttled_since_ms)
+      run->throttled_since_ms = now;
+    if (n < RELOCATIONS_MAX && try_relocate (c, run, now))
+      n++;
+  }
+}
--- a/src/coord/coord_stragglers.c
+++ b/src/coord/coord_stragglers.c
@@ -83,8 +83,7 @@
           "still_ms=%" G_GINT64_FORMAT,
           task->step->index, task->index, run->number, run->progress_percent,
           now - run->progress_ms);
-  run->to_stop = TRUE;
-  run->ordered_ms = 0;
+  hk_engine_run_stop (run);
 }
 
 void
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -36,6 +36,7 @@
   g_array_set_clear_func (l->ends, end_clear);
   l->orphans = g_array_new (FALSE, TRUE, sizeof (hk_run_id));
   g_array_set_clear_func (l->orphans, orphan_clear);
+  coord_sharing_init (&l->sharing);
   in->link = l;
   return l;
 }
@@ -80,9 +81,14 @@
   return g_strdup (text);
 }
 
-static void
+/* Returns whether it may accept other runs than before. */
+static gboolean
 instance_update (struct hk_instance *in, const hk_sync_args *args, int64_t now)
 {
+  gboolean changed = in->draining != (gboolean)args->draining
+                     || in->leaving != (gboolean)args->leaving
+                     || !in->capacity_known;
+
   if (in->draining != (gboolean)args->draining)
     hk_log (HK_LOG_INFO, "sync", in->name, NULL,
             "event=instance_%s left_ms=%u", args->draining ? "drains" : "back",
@@ -91,7 +97,7 @@
   in->leaving = args->leaving;
   in->drain_until_ms = now + args->drain_left_ms;
   if (!args->described)
-    return;
+    return changed;
   if (!in->capacity_known)
     hk_log (HK_LOG_INFO, "sync", in->name, NULL,
             "event=instance_described pool=%s cpu=%u memory_mb=%u "
@@ -113,6 +119,7 @@
       g_strfreev (in->labels);
       in->labels = (char **)g_ptr_array_free (list, FALSE);
     }
+  return changed;
 }
 
 static void
@@ -251,10 +258,11 @@
 }
 
 /* Ends unwanted runs that were placed here but never ordered: they need no
-   stop order. */
-static void
+   stop order. Returns whether there were any. */
+static gboolean
 unordered_runs_end (struct hk_instance *in, int64_t now)
 {
+  gboolean ended = FALSE;
   struct hk_run *run;
   struct hk_run *next;
 
@@ -265,8 +273,12 @@
       if (in->draining && !run->started_ms)
         run->to_stop = TRUE;
       if (run->to_stop && !run->inherited && !run->ordered_ms)
-        hk_engine_run_end (run, HK_END_REFUSED, NULL, now, coord_wall_ms ());
+        {
+          hk_engine_run_end (run, HK_END_REFUSED, NULL, now, coord_wall_ms ());
+          ended = TRUE;
+        }
     }
+  return ended;
 }
 
 static void
@@ -292,6 +304,7 @@
   struct hk_instance *in;
   struct coord_link *l;
   int64_t now = hk_clock_ms ();
+  gboolean pass_needed = args->ends.ends_len > 0;
 
   if (c->state != COORD_LEADING || args->term > c->term)
     {
@@ -324,16 +337,17 @@
   in->granted_until_ms
       = MAX (in->granted_until_ms,
              now + (int64_t)args->final_lease_ms - c->authority.hold_ms);
-  instance_update (in, args, now);
+  pass_needed = instance_update (in, args, now) || pass_needed;
   interference_seed (c, args);
   report_apply (l, args, now);
   runs_end_lost (c, in, in->start_time_ms, now, "endpoint restarted", now);
   coord_interference_learn (c, in, now);
   missing_runs_reorder (in, now);
-  unordered_runs_end (in, now);
+  pass_needed = unordered_runs_end (in, now) || pass_needed;
   coord_link_reply (l, FALSE);
   coord_link_park (l);
-  coord_pass_schedule (c);
+  if (pass_needed)
+    coord_pass_schedule (c);
 }
 
 /* Ends the runs of instances whose leases have certainly expired. */
--- a/src/coord/coord_sync_reply.c
+++ b/src/coord/coord_sync_reply.c
@@ -33,17 +33,30 @@
   out->payload.payload_val = job->payload.payload_val;
 }
 
-static void
+/* Whether a run needs orders now or will need them later, unless it changes.
+ */
+static gboolean
+awaits_order (const struct hk_run *run)
+{
+  return run->to_stop || !run->started_ms || run->spec_requested;
+}
+
+/* Returns whether some run awaits orders. */
+static gboolean
 orders_collect (struct coord_link *l, GArray *starts, GArray *stops,
                 int64_t now)
 {
   struct hk_instance *in = l->in;
   gboolean commit_is_recent
       = now - l->c->commit.confirmed_ms < START_COMMIT_AGE_MAX_MS;
+  gboolean awaiting = FALSE;
   struct hk_run *run;
 
   LIST_FOREACH (run, &in->runs, link)
   {
+    if (!awaits_order (run))
+      continue;
+    awaiting = TRUE;
     if (run->instance_start_time_ms != in->start_time_ms
         || (run->ordered_ms && now - run->ordered_ms < ORDER_REPEAT_MS))
       continue;
@@ -55,8 +68,7 @@
         g_array_append_val (stops, id);
         run->ordered_ms = now;
       }
-    else if ((!run->started_ms || run->spec_requested)
-             && run->version <= run->task->step->job->committed_version
+    else if (run->version <= run->task->step->job->committed_version
              && !in->draining && commit_is_recent)
       {
         hk_start_order start = { 0 };
@@ -73,12 +85,16 @@
         run->ordered_ms = now;
       }
   }
+  return awaiting;
 }
 
-static void
+/* Returns whether some end awaits its first acknowledgement. */
+static gboolean
 acknowledgements_collect (struct coord_link *l, GArray *acknowledged,
                           int64_t now)
 {
+  gboolean awaiting = FALSE;
+
   for (guint i = 0; i < l->ends->len; i++)
     {
       struct coord_end *end = &g_array_index (l->ends, struct coord_end, i);
@@ -89,13 +105,17 @@
               = { .job = end->job, .step = end->step, .index = end->index },
               .run = end->run };
 
-      if ((job && job->committed_version < end->version)
-          || (end->acknowledged_ms
-              && now - end->acknowledged_ms < ORDER_REPEAT_MS))
+      if (job && job->committed_version < end->version)
+        {
+          awaiting = TRUE;
+          continue;
+        }
+      if (end->acknowledged_ms && now - end->acknowledged_ms < ORDER_REPEAT_MS)
         continue;
       end->acknowledged_ms = now;
       g_array_append_val (acknowledged, id);
     }
+  return awaiting;
 }
 
 /* Sends the parked reply if it has orders or acknowledgements, or in any case
@@ -104,27 +124,31 @@
 coord_link_reply (struct coord_link *l, gboolean force)
 {
   struct hk_coord *c = l->c;
-  g_autoptr (GArray) starts
-      = g_array_new (FALSE, TRUE, sizeof (hk_start_order));
-  g_autoptr (GArray) stops = g_array_new (FALSE, TRUE, sizeof (hk_run_id));
-  g_autoptr (GArray) acknowledged
-      = g_array_new (FALSE, TRUE, sizeof (hk_run_id));
-  g_autoptr (GArray) interference_estimates
-      = g_array_new (FALSE, TRUE, sizeof (hk_interference_row));
+  g_autoptr (GArray) starts = NULL;
+  g_autoptr (GArray) stops = NULL;
+  g_autoptr (GArray) acknowledged = NULL;
+  g_autoptr (GArray) interference_estimates = NULL;
   struct hk_rpc_request *req = l->parked;
   hk_sync_reply reply = { .leading = TRUE, .term = c->term };
   int64_t now = hk_clock_ms ();
+  gboolean awaiting;
   int64_t until;
 
-  if (!req)
+  if (!req || (!force && l->settled_changes == l->in->changes))
     return;
-  orders_collect (l, starts, stops, now);
+  starts = g_array_new (FALSE, TRUE, sizeof (hk_start_order));
+  stops = g_array_new (FALSE, TRUE, sizeof (hk_run_id));
+  acknowledged = g_array_new (FALSE, TRUE, sizeof (hk_run_id));
+  interference_estimates
+      = g_array_new (FALSE, TRUE, sizeof (hk_interference_row));
+  awaiting = orders_collect (l, starts, stops, now);
   if (now - l->orphan_stop_ms >= ORDER_REPEAT_MS && l->orphans->len > 0)
     {
       g_array_append_vals (stops, l->orphans->data, l->orphans->len);
       l->orphan_stop_ms = now;
     }
-  acknowledgements_collect (l, acknowledged, now);
+  awaiting = acknowledgements_collect (l, acknowledged, now) || awaiting;
+  l->settled_changes = awaiting ? 0 : l->in->changes;
   if (!force && starts->len == 0 && stops->len == 0 && acknowledged->len == 0)
     return;
   /* Agents then look for a successor, which perhaps only they can reach. */
@@ -196,6 +220,7 @@
     hk_timer_clear (&l->park_timer);
     g_array_unref (l->ends);
     g_array_unref (l->orphans);
+    coord_sharing_finish (&l->sharing);
     g_free (l);
     in->link = NULL;
   }
--- a/src/engine/engine.c
+++ b/src/engine/engine.c
@@ -43,6 +43,7 @@
   in->used_memory_mb += (unsigned)sign * spec->memory_mb;
   in->used_accelerators += (unsigned)sign * spec->accelerators;
   in->n_runs += (unsigned)sign;
+  in->changes++;
 }
 
 struct hk_run *
@@ -260,6 +261,20 @@
   return TRUE;
 }
 
+static void
+mark_to_stop (struct hk_run *run)
+{
+  run->to_stop = TRUE;
+  run->instance->changes++;
+}
+
+void
+hk_engine_run_stop (struct hk_run *run)
+{
+  mark_to_stop (run);
+  run->ordered_ms = 0;
+}
+
 /* The runs keep their capacity until their end is seen. */
 static void
 mark_runs_to_stop (struct hk_engine_job *job)
@@ -268,7 +283,7 @@
     for (unsigned t = 0; t < job->steps[i].spec->count; t++)
       for (int r = 0; r < HK_RUNS_PER_TASK; r++)
         if (job->steps[i].tasks[t].runs[r])
-          job->steps[i].tasks[t].runs[r]->to_stop = TRUE;
+          mark_to_stop (job->steps[i].tasks[t].runs[r]);
 }
 
 static void
@@ -344,7 +359,7 @@
   g_clear_pointer (&task->checkpoint, g_free);
   for (int i = 0; i < HK_RUNS_PER_TASK; i++)
     if (task->runs[i])
-      task->runs[i]->to_stop = TRUE;
+      mark_to_stop (task->runs[i]);
   if (all_done (step->job))
     job_end (step->job, HK_JOB_STATE_COMPLETED, now_ms, wall_ms);
   else
@@ -438,6 +453,8 @@
 {
   g_assert (LIST_EMPTY (&in->runs));
   g_hash_table_remove (e->instances, in->name);
+  if (e->cursor == in)
+    e->cursor = NULL;
   TAILQ_REMOVE (&e->instance_list, in, next);
   instance_free (in);
 }
--- a/src/policy/interference_model.c
+++ b/src/policy/interference_model.c
@@ -4,6 +4,8 @@
    strongly with some serving images and the rest with none. */
 #include "hyssopkeel/interference_model.h"
 
+#include <string.h>
+
 /* Interference of a pair without observations, as lost headroom at full CPU
    use, and its variance. Three of four pairs are near 0 and the others between
    3 and 25 (docs/MEASUREMENTS.md). */
@@ -17,78 +19,116 @@
 /* Variance of an estimate taken from another process, squared headroom: it may
    be a few seconds old. */
 #define SEED_VARIANCE 1.0
-/* Bounds memory at some 200 bytes a pair, as images come and go. At the limit
-   all pairs are dropped and learned anew. */
-#define PAIRS_MAX 4096
+/* Bounds the memory of the pairs at some 800 kB, as images come and go. */
+#define IMAGES_MAX 256
+#define CAPACITY_MIN 16
 
-struct pair
+struct hk_interference_pair
 {
-  char *serving_image;
-  char *best_effort_image;
-  double mean;
-  double variance;
+  float mean;
+  float variance;
+  gboolean known; /* observed, or taken from another process */
 };
 
-static const struct pair prior
+static const struct hk_interference_pair prior
     = { .mean = PRIOR_MEAN, .variance = PRIOR_VARIANCE };
 
-static void
-pair_free (gpointer data)
+void
+hk_interference_model_init (struct hk_interference_model *model)
 {
-  struct pair *pair = data;
-
-  g_free (pair->serving_image);
-  g_free (pair->best_effort_image);
-  g_free (pair);
+  memset (model, 0, sizeof *model);
+  model->images
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  model->names = g_ptr_array_new ();
+  model->generation = 1;
 }
 
-static char *
-pair_key (const char *serving_image, const char *best_effort_image)
+void
+hk_interference_model_finish (struct hk_interference_model *model)
 {
-  return g_strconcat (serving_image, "|", best_effort_image, NULL);
+  g_clear_pointer (&model->images, g_hash_table_unref);
+  g_clear_pointer (&model->names, g_ptr_array_unref);
+  g_clear_pointer (&model->pairs, g_free);
 }
 
-void
-hk_interference_model_init (struct hk_interference_model *model)
+static void
+reset (struct hk_interference_model *model)
 {
-  model->pairs
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, pair_free);
+  g_ptr_array_set_size (model->names, 0);
+  g_hash_table_remove_all (model->images);
+  for (unsigned i = 0; i < model->capacity * model->capacity; i++)
+    model->pairs[i] = prior;
+  model->generation++;
 }
 
-void
-hk_interference_model_finish (struct hk_interference_model *model)
+static void
+grow (struct hk_interference_model *model)
 {
-  g_clear_pointer (&model->pairs, g_hash_table_unref);
+  unsigned old = model->capacity;
+  unsigned capacity = MAX (2 * old, CAPACITY_MIN);
+  struct hk_interference_pair *pairs
+      = g_new (struct hk_interference_pair, (gsize)capacity * capacity);
+
+  for (unsigned i = 0; i < capacity; i++)
+    for (unsigned k = 0; k < capacity; k++)
+      pairs[i * capacity + k]
+          = i < old && k < old ? model->pairs[i * old + k] : prior;
+  g_free (model->pairs);
+  model->pairs = pairs;
+  model->capacity = capacity;
 }
 
-static const struct pair *
-lookup_pair (const struct hk_interference_model *model,
-             const char *serving_image, const char *best_effort_image)
+unsigned
+hk_interference_model_image (struct hk_interference_model *model,
+                             const char *name)
 {
-  g_autofree char *key = pair_key (serving_image, best_effort_image);
-  const struct pair *pair = g_hash_table_lookup (model->pairs, key);
+  gpointer number;
+  char *key;
+
+  if (g_hash_table_lookup_extended (model->images, name, NULL, &number))
+    return GPOINTER_TO_UINT (number);
+  if (model->names->len == IMAGES_MAX)
+    reset (model);
+  if (model->names->len == model->capacity)
+    grow (model);
+  key = g_strdup (name);
+  g_ptr_array_add (model->names, key);
+  g_hash_table_insert (model->images, key,
+                       GUINT_TO_POINTER (model->names->len - 1));
+  return model->names->len - 1;
+}
 
-  return pair ? pair : &prior;
+static struct hk_interference_pair *
+pair_at (const struct hk_interference_model *model, unsigned serving,
+         unsigned best_effort)
+{
+  return &model->pairs[serving * model->capacity + best_effort];
 }
 
-static struct pair *
-lookup_or_add_pair (struct hk_interference_model *model,
-                    const char *serving_image, const char *best_effort_image)
+static struct hk_interference_pair *
+pair_of (struct hk_interference_model *model, const char *serving_image,
+         const char *best_effort_image)
 {
-  g_autofree char *key = pair_key (serving_image, best_effort_image);
-  struct pair *pair = g_hash_table_lookup (model->pairs, key);
+  unsigned generation;
+  unsigned serving;
+  unsigned best_effort;
 
-  if (!pair)
+  /* The second number may invalidate the first. */
+  do
     {
-      if (g_hash_table_size (model->pairs) >= PAIRS_MAX)
-        g_hash_table_remove_all (model->pairs);
-      pair = g_new (struct pair, 1);
-      *pair = prior;
-      pair->serving_image = g_strdup (serving_image);
-      pair->best_effort_image = g_strdup (best_effort_image);
-      g_hash_table_insert (model->pairs, g_steal_pointer (&key), pair);
+      generation = model->generation;
+      serving = hk_interference_model_image (model, serving_image);
+      best_effort = hk_interference_model_image (model, best_effort_image);
     }
-  return pair;
+  while (generation != model->generation);
+  return pair_at (model, serving, best_effort);
+}
+
+double
+hk_interference_model_at (const struct hk_interference_model *model,
+                          unsigned serving, unsigned best_effort)
+{
+  return pair_at (model, serving, best_effort)->mean;
 }
 
 double
@@ -96,7 +136,16 @@
                            const char *serving_image,
                            const char *best_effort_image)
 {
-  return lookup_pair (model, serving_image, best_effort_image)->mean;
+  gpointer serving;
+  gpointer best_effort;
+
+  if (!g_hash_table_lookup_extended (model->images, serving_image, NULL,
+                                     &serving)
+      || !g_hash_table_lookup_extended (model->images, best_effort_image, NULL,
+                                        &best_effort))
+    return prior.mean;
+  return hk_interference_model_at (model, GPOINTER_TO_UINT (serving),
+                                   GPOINTER_TO_UINT (best_effort));
 }
 
 void
@@ -104,8 +153,11 @@
                            const char *serving_image,
                            const char *best_effort_image, double value)
 {
-  lookup_or_add_pair (model, serving_image, best_effort_image)->mean
-      = CLAMP (value, 0.0, MEAN_MAX);
+  struct hk_interference_pair *pair
+      = pair_of (model, serving_image, best_effort_image);
+
+  pair->mean = (float)CLAMP (value, 0.0, MEAN_MAX);
+  pair->known = TRUE;
 }
 
 void
@@ -113,13 +165,14 @@
                             const char *serving_image,
                             const char *best_effort_image, double value)
 {
-  struct pair *pair;
+  struct hk_interference_pair *pair
+      = pair_of (model, serving_image, best_effort_image);
 
-  if (lookup_pair (model, serving_image, best_effort_image) != &prior)
+  if (pair->known)
     return;
-  pair = lookup_or_add_pair (model, serving_image, best_effort_image);
-  pair->mean = CLAMP (value, 0.0, MEAN_MAX);
+  pair->mean = (float)CLAMP (value, 0.0, MEAN_MAX);
   pair->variance = SEED_VARIANCE;
+  pair->known = TRUE;
 }
 
 void
@@ -129,21 +182,20 @@
                                               double value, void *user),
                                void *user)
 {
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, model->pairs);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct pair *pair = value;
-
-      visit (pair->serving_image, pair->best_effort_image, pair->mean, user);
-    }
+  for (guint i = 0; i < model->names->len; i++)
+    for (guint k = 0; k < model->names->len; k++)
+      {
+        const struct hk_interference_pair *pair = pair_at (model, i, k);
+
+        if (pair->known)
+          visit (model->names->pdata[i], model->names->pdata[k], pair->mean,
+                 user);
+      }
 }
 
 double
 hk_interference_model_predict (const struct hk_interference_model *model,
-                               const char *serving_image,
+                               unsigned serving,
                                const struct hk_interference_source *sources,
                                unsigned n, double *variance)
 {
@@ -152,8 +204,8 @@
   *variance = 0;
   for (unsigned i = 0; i < n; i++)
     {
-      const struct pair *pair
-          = lookup_pair (model, serving_image, sources[i].image);
+      const struct hk_interference_pair *pair
+          = pair_at (model, serving, sources[i].image);
 
       loss += pair->mean * sources[i].cpu_share;
       *variance
@@ -164,24 +216,25 @@
 
 void
 hk_interference_model_update (struct hk_interference_model *model,
-                              const char *serving_image, double loss,
-                              double noise,
+                              unsigned serving, double loss, double noise,
                               const struct hk_interference_source *sources,
                               unsigned n)
 {
   double variance;
   double residual = loss
-                    - hk_interference_model_predict (model, serving_image,
-                                                     sources, n, &variance);
+                    - hk_interference_model_predict (model, serving, sources,
+                                                     n, &variance);
 
   for (unsigned i = 0; i < n; i++)
     {
-      struct pair *pair
-          = lookup_or_add_pair (model, serving_image, sources[i].image);
+      struct hk_interference_pair *pair
+          = pair_at (model, serving, sources[i].image);
       double gain = pair->variance * sources[i].cpu_share / (variance + noise);
 
-      pair->mean = CLAMP (pair->mean + gain * residual, 0.0, MEAN_MAX);
+      pair->mean = (float)CLAMP (pair->mean + gain * residual, 0.0, MEAN_MAX);
       pair->variance
-          += DRIFT_VARIANCE - gain * sources[i].cpu_share * pair->variance;
+          += (float)(DRIFT_VARIANCE
+                     - gain * sources[i].cpu_share * pair->variance);
+      pair->known = TRUE;
     }
 }
--- a/src/policy/job_placement.c
+++ b/src/policy/job_placement.c
@@ -84,6 +84,16 @@
   return score - v->failure_rate;
 }
 
+gboolean
+hk_job_place_score (const struct hk_job_place_view *v,
+                    const struct hk_job_place_need *need, double *score)
+{
+  if (!task_fits (v, need))
+    return FALSE;
+  *score = placement_score (v, need);
+  return TRUE;
+}
+
 int
 hk_job_place_choose (const struct hk_job_place_view *views, unsigned n,
                      const struct hk_job_place_need *need)
@@ -95,9 +105,8 @@
     {
       double score;
 
-      if (!task_fits (&views[i], need))
+      if (!hk_job_place_score (&views[i], need, &score))
         continue;
-      score = placement_score (&views[i], need);
       if (best < 0 || score > best_score)
         {
           best = (int)i;
--- /dev/null
+++ b/tests/coord/pass_cost.sh
@@ -0,0 +1,37 @@
+#!/usr/bin/env bash
+# Checks that a scheduling pass costs what has changed and not what the size of
+# the site would: plays the same rounds of a burst to a coordinator at several
+# sizes and compares instructions, which repeat, unlike times.
+# Usage: pass_cost.sh PROGRAM
+set -euo pipefail
+program=$1
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+
+# The difference of two runs excludes the set-up.
+per_round () {
+  local first second
+  first=$(instructions "$1" "$2" 10)
+  second=$(instructions "$1" "$2" 30)
+  echo $(((second - first) / 20))
+}
+
+instructions () {
+  valgrind --tool=callgrind --callgrind-out-file="$scratch/out" \
+    "$program" "$1" "$2" "$3" 2>&1 | sed -n 's/.*Collected : //p'
+}
+
+status=0
+check () {
+  local name=$1 small=$2 large=$3
+  echo "$name: $small to $large instructions a round"
+  if ((large > 2 * small)); then
+    echo "$name: grows more than 2 times"
+    status=1
+  fi
+}
+
+loaded=$(per_round 200 1000)
+check "from 100 to 1000 jobs" "$(per_round 200 100)" "$loaded"
+check "from 200 to 2000 instances" "$loaded" "$(per_round 2000 1000)"
+exit $status
--- a/tests/unit/test_share.c
+++ b/tests/unit/test_share.c
@@ -357,9 +357,12 @@
   static const double actual[IMAGES] = { 8.0, 0.0, 0.1, 3.0 };
   struct hk_interference_model model;
   g_autoptr (GRand) rand = g_rand_new_with_seed (7);
+  struct hk_interference_source heavy = { .cpu_share = 0.1 };
+  unsigned serving;
   double variance;
 
   hk_interference_model_init (&model);
+  serving = hk_interference_model_image (&model, "serving");
   for (int step = 0; step < 25; step++)
     for (int i = 0; i < INSTANCES; i++)
       {
@@ -370,12 +373,12 @@
           {
             int image = (step / 5 + i + k) % IMAGES;
 
-            sources[k].image = images[image];
+            sources[k].image
+                = hk_interference_model_image (&model, images[image]);
             sources[k].cpu_share = 0.08 + 0.04 * k;
             loss += actual[image] * sources[k].cpu_share;
           }
-        hk_interference_model_update (&model, "serving", loss, 0.06, sources,
-                                      2);
+        hk_interference_model_update (&model, serving, loss, 0.06, sources, 2);
       }
   for (int k = 0; k < IMAGES; k++)
     g_assert_cmpfloat_with_epsilon (
@@ -383,9 +386,8 @@
         1.0);
   g_assert_cmpfloat (hk_interference_model_get (&model, "other", "heavy"), >,
                      0.5);
-  hk_interference_model_predict (
-      &model, "serving", &(struct hk_interference_source){ "heavy", 0.1 }, 1,
-      &variance);
+  heavy.image = hk_interference_model_image (&model, "heavy");
+  hk_interference_model_predict (&model, serving, &heavy, 1, &variance);
   g_assert_cmpfloat (variance, <, 0.01);
   hk_interference_model_finish (&model);
 }
@@ -396,16 +398,21 @@
 one_observation_reveals_strong_interference (void)
 {
   struct hk_interference_model model;
-  struct hk_interference_source source = { "heavy", 0.1 };
+  struct hk_interference_source source = { .cpu_share = 0.1 };
+  unsigned serving;
+  unsigned quiet;
   double prior;
 
   hk_interference_model_init (&model);
+  serving = hk_interference_model_image (&model, "serving");
+  quiet = hk_interference_model_image (&model, "quiet");
+  source.image = hk_interference_model_image (&model, "heavy");
   prior = hk_interference_model_get (&model, "serving", "heavy");
-  hk_interference_model_update (&model, "serving", 1.0, 0.06, &source, 1);
+  hk_interference_model_update (&model, serving, 1.0, 0.06, &source, 1);
   g_assert_cmpfloat (hk_interference_model_get (&model, "serving", "heavy"), >,
                      3 * prior);
-  hk_interference_model_update (&model, "quiet", 0.0, 0.06, &source, 1);
-  hk_interference_model_update (&model, "quiet", 0.0, 0.06, &source, 1);
+  hk_interference_model_update (&model, quiet, 0.0, 0.06, &source, 1);
+  hk_interference_model_update (&model, quiet, 0.0, 0.06, &source, 1);
   g_assert_cmpfloat (hk_interference_model_get (&model, "quiet", "heavy"), <,
                      prior / 2);
   hk_interference_model_finish (&model);
@@ -428,7 +435,8 @@
 {
   struct hk_interference_model agent;
   struct hk_interference_model successor;
-  struct hk_interference_source source = { "heavy", 0.1 };
+  struct hk_interference_source source = { .cpu_share = 0.1 };
+  unsigned serving;
   int n = 0;
 
   hk_interference_model_init (&agent);
@@ -439,7 +447,9 @@
   hk_interference_model_seed (&successor, "serving", "heavy", 8.0);
   g_assert_cmpfloat (
       hk_interference_model_get (&successor, "serving", "heavy"), ==, 8.0);
-  hk_interference_model_update (&successor, "serving", 0.1, 0.06, &source, 1);
+  serving = hk_interference_model_image (&successor, "serving");
+  source.image = hk_interference_model_image (&successor, "heavy");
+  hk_interference_model_update (&successor, serving, 0.1, 0.06, &source, 1);
   hk_interference_model_seed (&successor, "serving", "heavy", 8.0);
   g_assert_cmpfloat (
       hk_interference_model_get (&successor, "serving", "heavy"), <, 8.0);
@@ -447,7 +457,8 @@
   hk_interference_model_finish (&successor);
 }
 
-/* The number of pairs is bounded, although new images appear for months. */
+/* Memory is bounded, although new images appear for months, and an image that
+   is in use keeps its estimate until all are dropped. */
 static void
 number_of_pairs_is_bounded (void)
 {
@@ -460,7 +471,10 @@
 
       hk_interference_model_set (&model, image, "best-effort", 1.0);
     }
-  g_assert_cmpuint (g_hash_table_size (model.pairs), <=, 4096);
+  g_assert_cmpuint ((guint64)model.capacity * model.capacity, <=, 65536);
+  g_assert_cmpuint (model.generation, >, 1);
+  g_assert_cmpfloat (
+      hk_interference_model_get (&model, "19999", "best-effort"), ==, 1.0);
   hk_interference_model_finish (&model);
 }
 
