Speeds of best-effort tasks settle one by one; a reserve of headroom

Cause: an agent raised no speed until 600 ms had passed since its last change of any speed. Change: only a task's own last change holds it. New tasks leave a quarter of the headroom free, since the load ahead is known with errors.

--- a/include/hyssopkeel/throttle.h
+++ b/include/hyssopkeel/throttle.h
@@ -20,12 +20,15 @@
  * @used_cpu_share: share of them that it used in the last report.
  * @speed_percent: its throttle level, per cent of full speed; input is the
  *                 current level, hk_throttle_decide() sets the new one.
+ * @settled: whether its last change of level is visible in the samples; until
+ *           then its level may only drop.
  */
 struct hk_throttle_task
 {
   double full_cpu_share;
   double used_cpu_share;
   unsigned speed_percent;
+  gboolean settled;
 };
 
 /**
@@ -36,7 +39,7 @@
  * @n_serving: number of images with service tasks.
  * @interference: matrix of @n_tasks rows and @n_serving columns: headroom that
  *                the image would lose if the task used all CPUs.
- * @settled: whether the last change of levels is visible in @headroom.
+ * @settled: whether the last change of any level is visible in @headroom.
  * @over_target_ms: time for which some tail latency has been over its target
  *                  without a break.
  */
--- a/src/coord/coord_relocate.c
+++ b/src/coord/coord_relocate.c
@@ -10,6 +10,8 @@
 #define RELOCATIONS_MAX 24
 /* Runs are moved only to where they would have this share of full speed. */
 #define SPEED_MIN 0.7
+/* ... and where all would have theirs. */
+#define USAGE_MAX 1.0
 
 static double
 remaining_ms (struct hk_coord *c, const struct hk_run *run)
@@ -36,7 +38,7 @@
 
     if (in == run->instance || !l || l->target_ms == now
         || !coord_task_fits (c, &v, in, run->task, now)
-        || v.headroom_usage > 1.0 || v.expected_speed < SPEED_MIN
+        || v.headroom_usage > USAGE_MAX || v.expected_speed < SPEED_MIN
         || (best && v.headroom_cost >= best_cost))
       continue;
     *speed = v.expected_speed;
--- a/src/policy/job_placement.c
+++ b/src/policy/job_placement.c
@@ -12,7 +12,7 @@
 #define UNRELIABLE_PENALTY 1e6
 /* A best-effort task stays queued rather than take more than this share of
    what it may take: it, or tasks that run already, would be throttled. */
-#define HEADROOM_USAGE_MAX 1.0
+#define HEADROOM_USAGE_MAX 0.75
 /* Keeps instances without service tasks for tasks that interfere strongly
    elsewhere. */
 #define NO_SERVICE_COST 0.3
--- a/src/policy/throttle.c
+++ b/src/policy/throttle.c
@@ -92,9 +92,10 @@
     percent = 100;
   if (percent < SPEED_MIN_PERCENT)
     percent = 0;
-  /* Until the last change is visible in the headroom, speed may only drop. */
+  /* Changes of other tasks do not hold it: where some task changes all the
+     time, those that interfere little would never rise again. */
   task->speed_percent
-      = v->settled ? percent : MIN (percent, task->speed_percent);
+      = task->settled ? percent : MIN (percent, task->speed_percent);
   for (unsigned t = 0; t < v->n_serving; t++)
     remaining[t] = MAX (remaining[t]
                             - interference_at (v, i, t) * task->full_cpu_share
--- a/src/runner/runner.h
+++ b/src/runner/runner.h
@@ -49,6 +49,7 @@
   unsigned speed_percent; /* of full speed */
   unsigned speed_requested_percent;
   gboolean throttle_pending;
+  int64_t throttled_ms; /* time of the last change of speed */
   char *checkpoint;
   char *payload;
   size_t payload_len;
--- a/src/runner/runner_throttle.c
+++ b/src/runner/runner_throttle.c
@@ -85,6 +85,7 @@
   run->throttle_pending = TRUE;
   run->open_calls++;
   run->speed_requested_percent = percent;
+  run->throttled_ms = now;
   r->throttle_set_ms = now;
   r->runtime->ops->throttle (r->runtime, &run->task, run->number, percent,
                              r->term, on_throttled, run);
@@ -111,7 +112,7 @@
 static unsigned
 collect_best_effort (const struct hk_runner *r, const GPtrArray *images,
                      struct hk_throttle_task *best_effort,
-                     double *interference)
+                     double *interference, int64_t now)
 {
   const struct runner_run *run;
   double total = (double)MAX (r->cpu_milli, 1);
@@ -123,6 +124,7 @@
       best_effort[n].full_cpu_share = run->cpu_milli / total;
       best_effort[n].used_cpu_share = run->load_sample / total;
       best_effort[n].speed_percent = run->speed_percent;
+      best_effort[n].settled = now - run->throttled_ms >= THROTTLE_SETTLE_MS;
       for (guint t = 0; t < images->len; t++)
         interference[n * images->len + t] = hk_interference_model_get (
             &r->interference, images->pdata[t], run->image);
@@ -160,7 +162,7 @@
   collect_services (r, images, headrooms);
   v.over_target_ms = time_over_target_ms (r, headrooms, now);
   interference = g_new0 (double, (gsize)(r->n_runs + 1) * (images->len + 1));
-  v.n_tasks = collect_best_effort (r, images, best_effort, interference);
+  v.n_tasks = collect_best_effort (r, images, best_effort, interference, now);
   if (v.n_tasks == 0)
     return;
   log_samples (r);
--- a/tests/unit/test_share.c
+++ b/tests/unit/test_share.c
@@ -287,10 +287,14 @@
 static void
 only_interfering_tasks_are_throttled (void)
 {
-  struct hk_throttle_task f[2] = {
-    { .full_cpu_share = 0.1, .used_cpu_share = 0.1, .speed_percent = 100 },
-    { .full_cpu_share = 0.1, .used_cpu_share = 0.1, .speed_percent = 100 }
-  };
+  struct hk_throttle_task f[2] = { { .full_cpu_share = 0.1,
+                                     .used_cpu_share = 0.1,
+                                     .speed_percent = 100,
+                                     .settled = TRUE },
+                                   { .full_cpu_share = 0.1,
+                                     .used_cpu_share = 0.1,
+                                     .speed_percent = 100,
+                                     .settled = TRUE } };
   const double headroom[] = { 0.95, 2.5 };
   /* The first task interferes with the image that is over its target, the
      second one with the other image. */
@@ -310,9 +314,10 @@
 static void
 all_best_effort_tasks_stop_while_a_tail_stays_over_target (void)
 {
-  struct hk_throttle_task f[1] = {
-    { .full_cpu_share = 0.1, .used_cpu_share = 0, .speed_percent = 100 }
-  };
+  struct hk_throttle_task f[1] = { { .full_cpu_share = 0.1,
+                                     .used_cpu_share = 0,
+                                     .speed_percent = 100,
+                                     .settled = TRUE } };
   const double headroom[] = { 0.83 };
   const double interference[] = { 0.05 };
   struct hk_throttle_view v = { .tasks = f,
@@ -344,8 +349,31 @@
   hk_throttle_decide (&v);
   g_assert_cmpuint (f[0].speed_percent, ==, 20);
   v.settled = TRUE;
+  f[0].settled = TRUE;
+  hk_throttle_decide (&v);
+  g_assert_cmpuint (f[0].speed_percent, ==, 100);
+}
+
+/* Beside a task that changes with every report, one that hardly interferes and
+   was stopped at a peak stood still until the other ended. */
+static void
+changes_of_other_tasks_do_not_hold_a_speed (void)
+{
+  struct hk_throttle_task f[2] = {
+    { .full_cpu_share = 0.1, .speed_percent = 0, .settled = TRUE },
+    { .full_cpu_share = 0.1, .used_cpu_share = 0.05, .speed_percent = 50 }
+  };
+  const double headroom[] = { 2.0 };
+  const double interference[] = { 0.8, 6.0 };
+  struct hk_throttle_view v = { .tasks = f,
+                                .n_tasks = 2,
+                                .headroom = headroom,
+                                .n_serving = 1,
+                                .interference = interference };
+
   hk_throttle_decide (&v);
   g_assert_cmpuint (f[0].speed_percent, ==, 100);
+  g_assert_cmpuint (f[1].speed_percent, <=, 50);
 }
 
 /* The load of the service tasks of one job varies together and changes
@@ -537,6 +565,7 @@
   ADD (only_interfering_tasks_are_throttled);
   ADD (all_best_effort_tasks_stop_while_a_tail_stays_over_target);
   ADD (speed_rises_only_after_the_last_change_is_measured);
+  ADD (changes_of_other_tasks_do_not_hold_a_speed);
   ADD (interference_is_learned_under_varying_load);
   ADD (one_observation_reveals_strong_interference);
   ADD (estimates_outlive_their_coordinator);
