Relocate a run only where placement would put its task

Cause: relocation accepted an instance with up to the whole headroom taken, while placement leaves a reserve, so stopped runs waited in the queue.

--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -283,6 +283,7 @@
 
 /* coord_candidates.c */
 void coord_pass_init (struct coord_pass *p, struct hk_coord *c, int64_t now);
+struct hk_job_place_need coord_place_need (const struct hk_engine_step *step);
 void coord_pass_begin_step (struct coord_pass *p,
                             const struct hk_engine_task *task);
 gboolean coord_pass_place (struct coord_pass *p, struct hk_engine_task *task);
--- a/src/coord/coord_candidates.c
+++ b/src/coord/coord_candidates.c
@@ -205,21 +205,27 @@
     p->scores[i] = -INFINITY;
 }
 
-/* Prepares the candidates for the tasks of one step that wait. */
-void
-coord_pass_begin_step (struct coord_pass *p, const struct hk_engine_task *task)
+struct hk_job_place_need
+coord_place_need (const struct hk_engine_step *step)
 {
-  const hk_step_spec *spec = task->step->spec;
+  const hk_step_spec *spec = step->spec;
 
-  p->need = (struct hk_job_place_need){
+  return (struct hk_job_place_need){
     .cpu_milli = spec->cpu_milli,
     .memory_mb = spec->memory_mb,
     .accelerators = spec->accelerators,
     .best_effort = (spec->flags & HK_STEP_BEST_EFFORT) != 0,
     .is_service = (spec->flags & HK_STEP_SERVICE) != 0,
     .per_instance_max = spec->per_instance_max,
-    .starving = is_starving (p, task),
   };
+}
+
+/* Prepares the candidates for the tasks of one step that wait. */
+void
+coord_pass_begin_step (struct coord_pass *p, const struct hk_engine_task *task)
+{
+  p->need = coord_place_need (task->step);
+  p->need.starving = is_starving (p, task);
   collect_candidates (p, task);
   for (unsigned i = 0; i < p->n; i++)
     score_candidate (p, i);
--- a/src/coord/coord_relocate.c
+++ b/src/coord/coord_relocate.c
@@ -5,13 +5,11 @@
 
 #include "hyssopkeel/relocation.h"
 
-/* Runs that may be stopped at a time. All their instances then have a free
-   place, and the stops and starts of one tick stay a small share of all. */
+/* Runs stopped in one tick. Bounds the cost of the tick and the burst of
+   commits that the restarts need. */
 #define RELOCATIONS_MAX 24
-/* Runs are moved only to where they would have this share of full speed. */
+/* Least expected speed on the other instance, as a share of full speed. */
 #define SPEED_MIN 0.7
-/* ... and where all would have theirs. */
-#define USAGE_MAX 1.0
 
 static double
 remaining_ms (struct hk_coord *c, const struct hk_run *run)
@@ -20,29 +18,32 @@
          * (100.0 - MIN (run->progress_percent, 100)) / 100.0;
 }
 
-/* Finds the instance where the task of a run would take least from others,
-   among those that no other run of this tick is to move to. */
+/* Finds the instance on which the task of a run would be placed, among those
+   that no other run of this tick is to move to. */
 static struct hk_instance *
-find_faster (struct hk_coord *c, const struct hk_run *run, double *speed,
+find_target (struct hk_coord *c, const struct hk_run *run, double *speed,
              int64_t now)
 {
+  struct hk_job_place_need need = coord_place_need (run->task->step);
   struct hk_instance *best = NULL;
   struct hk_instance *in;
-  double best_cost = 0;
+  double best_score = 0;
 
   *speed = 0;
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
   {
     struct hk_job_place_view v = { 0 };
     const struct coord_link *l = in->link;
+    double score;
 
     if (in == run->instance || !l || l->target_ms == now
         || !coord_task_fits (c, &v, in, run->task, now)
-        || v.headroom_usage > USAGE_MAX || v.expected_speed < SPEED_MIN
-        || (best && v.headroom_cost >= best_cost))
+        || v.expected_speed < SPEED_MIN
+        || !hk_job_place_score (&v, &need, &score)
+        || (best && score <= best_score))
       continue;
     *speed = v.expected_speed;
-    best_cost = v.headroom_cost;
+    best_score = score;
     best = in;
   }
   return best;
@@ -63,7 +64,7 @@
   v.expected_speed = 1.0;
   if (!hk_relocation_pays (&v))
     return FALSE;
-  to = find_faster (c, run, &v.expected_speed, now);
+  to = find_target (c, run, &v.expected_speed, now);
   if (!to || !hk_relocation_pays (&v))
     return FALSE;
   ((struct coord_link *)to->link)->target_ms = now;
--- a/src/policy/job_placement.c
+++ b/src/policy/job_placement.c
@@ -10,8 +10,9 @@
 #define RUN_TIME_RATIO_MAX 2.0
 /* Keeps the score of such an instance below that of every other. */
 #define UNRELIABLE_PENALTY 1e6
-/* A best-effort task stays queued rather than take more than this share of
-   what it may take: it, or tasks that run already, would be throttled. */
+/* A best-effort task stays queued rather than raise what such tasks take above
+   this share of what they may take: it, or others, would be throttled. The
+   rest is a reserve, as the load ahead is known with errors. */
 #define HEADROOM_USAGE_MAX 0.75
 /* Keeps instances without service tasks for tasks that interfere strongly
    elsewhere. */
