--- a/tests/coord/test_sharing.c
+++ b/tests/coord/test_sharing.c
@@ -138,6 +138,33 @@
   hk_coord_free (c);
 }
 
+/* A service queue that stays saturated, as on an instance that turned slow:
+   light tasks were started there again and again, and stood still. */
+static void
+nothing_is_expected_to_run_beside_a_saturated_queue (void)
+{
+  struct hk_coord *c = coord_new ();
+  struct hk_instance *in = instance_new (c);
+  struct hk_engine_job *job = submit (c, 1);
+  struct hk_job_place_view v = { 0 };
+  struct hk_run *run;
+
+  job->spec.steps.steps_val[0].flags = HK_STEP_SERVICE;
+  job->spec.steps.steps_val[0].target_ms = 18;
+  run = hk_engine_task_place (&job->steps[0].tasks[0], in, 1);
+  run->started_ms = 1;
+  run->sampled_ms = 2000;
+  run->headroom = 3.0;
+  coord_best_effort_expect (c, in, &job->steps[1], &v);
+  g_assert_cmpfloat (v.expected_speed, >, 0.9);
+  run->saturated_since_ms = 1;
+  in->changes++;
+  coord_best_effort_expect (c, in, &job->steps[1], &v);
+  g_assert_cmpfloat (v.expected_speed, ==, 0);
+  instance_release (in);
+  hk_coord_free (c);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -149,5 +176,8 @@
                    changes_of_runs_are_seen);
   g_test_add_func ("/sharing/jobs_that_fit_an_idle_site_are_admitted",
                    jobs_that_fit_an_idle_site_are_admitted);
+  g_test_add_func (
+      "/sharing/nothing_is_expected_to_run_beside_a_saturated_queue",
+      nothing_is_expected_to_run_beside_a_saturated_queue);
   return g_test_run ();
 }
