Log runs that end without a stop, and ends that no run awaits

TWICE could not be traced: the coordinator ended a run that it took for never ordered without a line, and dropped the end of a run that it did not know.

--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -221,7 +221,14 @@
     {
       end.version = end_version_find (before, e, &end.acknowledged_ms);
       if (end.version == 0 && task)
-        end.version = task->step->job->version;
+        {
+          hk_log (HK_LOG_WARN, "sync", l->in->name, e->task.job,
+                  "event=end_unknown step=%u index=%u run=%u how=%d "
+                  "last_run=%u; the end changes nothing",
+                  end.step, end.index, end.run, e->how, task->last_run);
+          hk_metric_get ("hyssopkeel_unknown_ends_total", "")->value++;
+          end.version = task->step->job->version;
+        }
     }
   end.job = g_strdup (e->task.job);
   g_array_append_val (l->ends, end);
@@ -274,6 +281,11 @@
         run->to_stop = TRUE;
       if (run->to_stop && !run->inherited && !run->ordered_ms)
         {
+          hk_log (HK_LOG_INFO, "sync", in->name, run->task->step->job->spec.id,
+                  "event=run_withdrawn why=\"never ordered\" step=%u index=%u "
+                  "run=%u started=%d draining=%d",
+                  run->task->step->index, run->task->index, run->number,
+                  run->started_ms > 0, in->draining);
           hk_engine_run_end (run, HK_END_REFUSED, NULL, now, coord_wall_ms ());
           ended = TRUE;
         }
--- a/src/runner/runner_run.c
+++ b/src/runner/runner_run.c
@@ -180,8 +180,8 @@
   if (run->state == RUN_ENDED || run->state == RUN_STOPPING)
     return;
   hk_log (HK_LOG_INFO, "runner", NULL, task->job,
-          "event=run_stopping step=%u index=%u run=%u state=%d", task->step,
-          task->index, number, run->state);
+          "event=run_stopping step=%u index=%u run=%u state=%d unanswered=%d",
+          task->step, task->index, number, run->state, run->start_in_doubt);
   hk_timer_clear (&run->timer);
   send_stop (run);
 }
