--- a/tests/coord/coord_support.c
+++ b/tests/coord/coord_support.c
@@ -55,11 +55,12 @@
 }
 
 void
-send_request (struct hk_coord *c, hk_job_request_kind kind, const char *id,
-              struct request_result *a)
+send_request_with_flags (struct hk_coord *c, hk_job_request_kind kind,
+                         const char *id, unsigned flags,
+                         struct request_result *a)
 {
   const unsigned counts[] = { 2, 1, 0 };
-  hk_job_spec *spec = test_job_spec_new (id, counts, 0);
+  hk_job_spec *spec = test_job_spec_new (id, counts, flags);
   hk_job_request_args args
       = { .kind = kind, .id = (char *)id, .queue = (char *)"batch" };
 
@@ -73,6 +74,13 @@
   test_job_spec_free (spec);
 }
 
+void
+send_request (struct hk_coord *c, hk_job_request_kind kind, const char *id,
+              struct request_result *a)
+{
+  send_request_with_flags (c, kind, id, 0, a);
+}
+
 static void
 on_synced (int rc, void *result, const struct hk_error *err, void *user)
 {
@@ -117,6 +125,8 @@
                         .domain = (char *)"d",
                         .endpoint_started_ms = 5,
                         .described = TRUE,
+                        .draining = a->draining,
+                        .drain_left_ms = a->draining ? 60000 : 0,
                         .pool = (char *)"pool",
                         .cpu_milli = 4000,
                         .memory_mb = 4000 };
--- a/tests/coord/coord_support.h
+++ b/tests/coord/coord_support.h
@@ -14,6 +14,7 @@
  * @n_runs: number of @runs.
  * @ends: ends of its next report.
  * @n_ends: number of @ends.
+ * @draining: whether its reports say that its endpoint drains.
  * @n_replies: replies to the last report, 0 or 1.
  * @leading: whether the last reply came from the leader.
  * @term: term in the last reply.
@@ -31,6 +32,7 @@
   unsigned n_runs;
   hk_run_end ends[8];
   unsigned n_ends;
+  gboolean draining;
   int n_replies;
   gboolean leading;
   uint64_t term;
@@ -80,6 +82,11 @@
 void send_request (struct hk_coord *c, hk_job_request_kind kind,
                    const char *id, struct request_result *a);
 
+/** send_request_with_flags() - the same; @flags are those of all steps. */
+void send_request_with_flags (struct hk_coord *c, hk_job_request_kind kind,
+                              const char *id, unsigned flags,
+                              struct request_result *a);
+
 /** report() - send one report and wait for the reply. */
 void report (struct agent *a);
 
