End a run without a stop only if it can never have been ordered

Callers saw a task run twice at the same time (TWICE), and a task that was done run once more. Cause: hk_run::ordered_ms was 0 both for a run that no agent was ordered to start and for one whose order is to be sent anew. An agent that restarts reports its runs as unknown, so the order is to be sent anew; if the coordinator meanwhile wanted the run stopped (moved, stalled, evacuated, consolidated), unordered_runs_end() took it for never ordered, ended it without a stop and its task was placed again while it went on. The same after a run was missing from reports on an instance that began to drain.

hk_run::may_execute is set when a start order is sent, a report shows the run or a predecessor placed it, and is never reset; only a run without it ends without a stop. It takes the place of @inherited, which covered the last of these cases alone; the check of test_engine.c follows the name.

Class: one field that stands for two facts, of which one is history and the other an intention. ordered_ms keeps the intention alone.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -46,7 +46,8 @@
  * @placed_ms: time of the placement, hk_clock_ms().
  * @started_ms: time of the first report that shows it running; 0 before.
  * @ordered_ms: time of the last order sent for it, or of the first report that
- *              shows it; 0 if the agent is to get an order.
+ *              shows it; 0 if the agent is to get an order. Says nothing about
+ *              earlier orders: see @may_execute.
  * @progress_percent: progress last reported, 0 to 100.
  * @load_sample: last reported tail latency in ms if the step has a latency
  *               target, else CPUs in use, milli.
@@ -58,7 +59,9 @@
  * @sampled_ms: time of the report from which the headrooms were computed.
  * @speed_percent: speed, percent of full speed.
  * @to_stop: the run is to be stopped; it takes capacity until its end.
- * @inherited: placed by a predecessor, which may have ordered it.
+ * @may_execute: a start order was sent, by this process or perhaps by a
+ *               predecessor, or a report showed it; it ends only by a report
+ *               or with proof that it has terminated. Never reset.
  * @spec_requested: the agent does not know what the run is and needs the start
  *                  order again.
  * @reported_ms: time of the last report that shows it.
@@ -86,7 +89,7 @@
   int64_t sampled_ms;
   unsigned speed_percent;
   gboolean to_stop;
-  gboolean inherited;
+  gboolean may_execute;
   gboolean spec_requested;
   int64_t reported_ms;
   double full_speed_ms;
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -142,6 +142,7 @@
       orphan_add (l, &r->task, r->run);
       return;
     }
+  run->may_execute = TRUE;
   /* The start order reached the current incarnation after all. */
   if (r->started)
     run->instance_start_time_ms = l->in->start_time_ms;
@@ -279,13 +280,13 @@
       /* Nothing may start on a draining instance. */
       if (in->draining && !run->started_ms)
         run->to_stop = TRUE;
-      if (run->to_stop && !run->inherited && !run->ordered_ms)
+      if (run->to_stop && !run->may_execute)
         {
           hk_log (HK_LOG_INFO, "sync", in->name, run->task->step->job->spec.id,
                   "event=run_withdrawn why=\"never ordered\" step=%u index=%u "
-                  "run=%u started=%d draining=%d",
+                  "run=%u draining=%d",
                   run->task->step->index, run->task->index, run->number,
-                  run->started_ms > 0, in->draining);
+                  in->draining);
           hk_engine_run_end (run, HK_END_REFUSED, NULL, now, coord_wall_ms ());
           ended = TRUE;
         }
--- a/src/coord/coord_sync_reply.c
+++ b/src/coord/coord_sync_reply.c
@@ -75,6 +75,7 @@
 
         start_order_fill (&start, run);
         g_array_append_val (starts, start);
+        run->may_execute = TRUE;
         run->spec_requested = FALSE;
         if (!run->ordered_ms)
           hk_log (HK_LOG_INFO, "sync", in->name, start.task.job,
--- a/src/engine/engine_record.c
+++ b/src/engine/engine_record.c
@@ -146,7 +146,7 @@
   run->instance_start_time_ms
       = parts[1] ? g_ascii_strtoll (parts[1], NULL, 10) : 0;
   run->placed_ms = now_ms;
-  run->inherited = TRUE;
+  run->may_execute = TRUE;
 }
 
 static void
--- a/tests/engine/test_engine.c
+++ b/tests/engine/test_engine.c
@@ -193,7 +193,7 @@
   task = &job->steps[0].tasks[1];
   g_assert_cmpstr (task->runs[0]->instance->name, ==, "agent-1");
   g_assert_cmpint (task->runs[0]->instance_start_time_ms, ==, 7);
-  g_assert_true (task->runs[0]->inherited);
+  g_assert_true (task->runs[0]->may_execute);
   g_assert_cmpuint (restored.in->used_cpu_milli, ==, 1000);
   g_assert_cmpuint (job->steps[1].waiting, ==, 3);
   hk_engine_finish (&f.e);
