Stop unanswered starts at the next incarnation of their endpoint

A start without a reply may be carried out seconds later, also by the next incarnation of the endpoint, which has seen neither the run nor its end, and whose clock and fence start anew. The agent stopped such starts there only while it still had the run: once refused connections had ended the run as lost, or its end was committed (a first attempt without a reply, a second that worked), it was forgotten, and the delayed copy ran beside the run that replaced it, or after the task was done.

A start call that is open while its run is given up counts as unanswered as well.

Both tests of /unanswered fail before (two runs at once; a delayed start that is not refused) and pass now. Ends of refused runs are no longer logged as unknown: they are expected.

--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -221,15 +221,16 @@
   else
     {
       end.version = end_version_find (before, e, &end.acknowledged_ms);
-      if (end.version == 0 && task)
+      if (end.version == 0 && task && e->how != HK_END_REFUSED)
         {
           hk_log (HK_LOG_WARN, "sync", l->in->name, e->task.job,
                   "event=end_unknown step=%u index=%u run=%u how=%d "
                   "last_run=%u; the end changes nothing",
                   end.step, end.index, end.run, e->how, task->last_run);
           hk_metric_get ("hyssopkeel_unknown_ends_total", "")->value++;
-          end.version = task->step->job->version;
         }
+      if (end.version == 0 && task)
+        end.version = task->step->job->version;
     }
   end.job = g_strdup (e->task.job);
   g_array_append_val (l->ends, end);
--- a/src/runner/runner.c
+++ b/src/runner/runner.c
@@ -18,6 +18,7 @@
   r->authority = options->authority;
   r->lease_max_ms = options->lease_max_ms;
   TAILQ_INIT (&r->runs);
+  TAILQ_INIT (&r->unanswered);
   hk_interference_model_init (&r->interference);
   return r;
 }
@@ -128,6 +129,7 @@
   runner_renew_stop (r);
   while ((run = TAILQ_FIRST (&r->runs)))
     runner_run_remove (run);
+  runner_unanswered_clear (r);
   g_free (r->name);
   g_free (r->domain);
   hk_interference_model_finish (&r->interference);
--- a/src/runner/runner.h
+++ b/src/runner/runner.h
@@ -32,7 +32,8 @@
   unsigned number;
   enum run_state state;
   gboolean spec_known;     /* resources and image are known from an order */
-  gboolean start_in_doubt; /* a start got no reply and may still arrive */
+  gboolean start_in_doubt; /* a start got no reply and may still arrive, also
+                              at a later incarnation; never reset */
   gboolean unlinked;       /* removed, but not freed while calls are open */
   unsigned open_calls;
   uint64_t start_reply_seq; /* call_seq of the reply to the start */
@@ -123,6 +124,7 @@
 
   TAILQ_HEAD (, runner_run) runs;
   unsigned n_runs;
+  TAILQ_HEAD (, runner_unanswered) unanswered;
 };
 
 /* runner.c */
@@ -158,6 +160,11 @@
 void runner_ends_acknowledge (struct hk_runner *r);
 void runner_renew_stop (struct hk_runner *r);
 
+/* runner_unanswered.c */
+void runner_unanswered_keep (struct runner_run *run);
+void runner_unanswered_stop (struct hk_runner *r);
+void runner_unanswered_clear (struct hk_runner *r);
+
 /* runner_throttle.c */
 void runner_throttle_update (struct hk_runner *r, int64_t now);
 
--- a/src/runner/runner_renew.c
+++ b/src/runner/runner_renew.c
@@ -33,23 +33,12 @@
 static void send_renewal (struct hk_runner *r, int64_t extend_ms,
                           int64_t wait_ms, void (*on_done) (void *user));
 
-/* TRUE if a start call sent before a restart may still reach the new
-   incarnation. */
-static gboolean
-start_may_arrive (const struct runner_run *run)
-{
-  return run->state != RUN_ENDED
-         && (run->start_in_doubt
-             || (run->state == RUN_STARTING && run->open_calls > 0));
-}
-
 /* Handles a restart of the endpoint, which ends all runs. An unanswered start
    may still reach the new incarnation; a stop makes it refuse that start. */
 void
 runner_incarnation_update (struct hk_runner *r, int64_t endpoint_start_ms)
 {
   struct runner_run *run;
-  struct runner_run *next;
 
   if (endpoint_start_ms <= r->endpoint_start_ms)
     return;
@@ -58,21 +47,10 @@
             "event=endpoint_restarted born=%" G_GINT64_FORMAT
             " before=%" G_GINT64_FORMAT " runs=%u",
             endpoint_start_ms, r->endpoint_start_ms, r->n_runs);
-  for (run = TAILQ_FIRST (&r->runs); run && r->endpoint_start_ms; run = next)
+  while (r->endpoint_start_ms && (run = TAILQ_FIRST (&r->runs)))
     {
-      next = TAILQ_NEXT (run, link);
-      if (start_may_arrive (run))
-        {
-          hk_task_id task = run->task;
-          unsigned number = run->number;
-
-          task.job = g_strdup (task.job);
-          runner_run_remove (run);
-          runner_run_stop (r, &task, number);
-          g_free (task.job);
-        }
-      else
-        runner_run_remove (run);
+      runner_unanswered_keep (run);
+      runner_run_remove (run);
     }
   r->endpoint_start_ms = endpoint_start_ms;
   r->described = FALSE;
@@ -83,6 +61,7 @@
   r->clock_read_ms = 0;
   r->lease_end_ms = 0;
   r->lease_deadline_clock_ms = 0;
+  runner_unanswered_stop (r);
   runner_report_schedule (r);
 }
 
--- a/src/runner/runner_run.c
+++ b/src/runner/runner_run.c
@@ -83,10 +83,19 @@
   return TRUE;
 }
 
+/* A start call that is open may be carried out after its run was given up. */
+static void
+mark_open_start (struct runner_run *run)
+{
+  if (run->state == RUN_STARTING && run->open_calls > 0)
+    run->start_in_doubt = TRUE;
+}
+
 void
 runner_run_set_ended (struct runner_run *run, hk_end_how how, uint64_t seq,
                       const char *checkpoint)
 {
+  mark_open_start (run);
   if (run->state != RUN_ENDED)
     {
       hk_log (HK_LOG_INFO, "runner", NULL, run->task.job,
@@ -164,6 +173,7 @@
 {
   struct hk_runner *r = run->r;
 
+  mark_open_start (run);
   run->state = RUN_STOPPING;
   run->open_calls++;
   r->runtime->ops->stop (r->runtime, &run->task, run->number, r->term,
--- a/src/runner/runner_sync.c
+++ b/src/runner/runner_sync.c
@@ -145,8 +145,10 @@
 {
   struct runner_run *run = runner_run_find (r, &id->task, id->run);
 
-  if (run && run->state == RUN_ENDED)
-    runner_run_remove (run);
+  if (!run || run->state != RUN_ENDED)
+    return;
+  runner_unanswered_keep (run);
+  runner_run_remove (run);
 }
 
 static void
--- /dev/null
+++ b/tests/runner/test_unanswered.c
@@ -0,0 +1,90 @@
+/* Starts without a reply that the next incarnation of the endpoint carries
+   out: it knows neither the run nor that the task has ended. */
+#include <glib.h>
+
+#include "hyssopkeel/log.h"
+#include "runner_support.h"
+
+static gboolean
+two_starts_delayed (void *user)
+{
+  return ((struct memory_runtime *)user)->delayed->len >= 2;
+}
+
+static void
+endpoint_crash (struct fixture *f)
+{
+  f->rt.unreachable = TRUE;
+  test_run_for (500);
+  memory_runtime_restart (&f->rt);
+  f->rt.unreachable = FALSE;
+  report_ready (f);
+}
+
+static void
+check_once (struct fixture *f)
+{
+  test_run_for (300);
+  memory_runtime_apply_delayed (&f->rt);
+  wait_job_done (f, 0);
+  g_assert_cmpint (f->rt.max_concurrent_runs, ==, 1);
+  g_assert_cmpint (f->rt.started_after_done, ==, 0);
+}
+
+/* Guards against a duplicate run: refused connections ended the run as lost,
+   and its unanswered start was carried out beside the run that replaced it. */
+static void
+unanswered_starts_are_stopped_after_a_crash (void)
+{
+  struct fixture f;
+
+  fixture_init (&f);
+  f.rt.work_ms = 900;
+  f.rt.delay_starts = 2;
+  send_request (&f, 0, HK_JOB_REQUEST_SUBMIT);
+  test_run_until (two_starts_delayed, &f.rt);
+  endpoint_crash (&f);
+  test_run_until (two_running, &f.rt);
+  check_once (&f);
+  fixture_finish (&f);
+}
+
+static gboolean
+two_acknowledged (void *user)
+{
+  return ((struct memory_runtime *)user)->acked_seq >= 2;
+}
+
+/* Guards against a task that runs again after it was done: the first attempt
+   to start it had no reply, the second one worked. */
+static void
+unanswered_attempts_are_stopped_after_the_end (void)
+{
+  struct fixture f;
+
+  fixture_init (&f);
+  f.rt.delay_starts = 2;
+  send_request (&f, 0, HK_JOB_REQUEST_SUBMIT);
+  f.rt.work_ms = 50;
+  test_run_until (two_acknowledged, &f.rt);
+  f.rt.work_ms = 900;
+  endpoint_crash (&f);
+  test_run_for (300);
+  f.rt.n_refused = 0;
+  memory_runtime_apply_delayed (&f.rt);
+  g_assert_cmpint (f.rt.n_refused, ==, 2);
+  wait_job_done (&f, 0);
+  fixture_finish (&f);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  if (g_test_verbose ())
+    hk_log_init ("info");
+#define ADD(name) g_test_add_func ("/unanswered/" #name, name)
+  ADD (unanswered_starts_are_stopped_after_a_crash);
+  ADD (unanswered_attempts_are_stopped_after_the_end);
+  return g_test_run ();
+}
