Stop unconfirmed starts when agent and endpoint both restarted

The agent stops unanswered starts at the next incarnation of its endpoint, but an agent that restarted as well has forgotten them. The coordinator then ended runs that it had ordered and that no report had confirmed as lost, and placed their tasks again, while a delayed start of the former agent could still reach the new incarnation.

Such runs are now stopped at the new incarnation first, which costs one exchange with its agent. Runs that a report had shown as started, and runs inherited from a predecessor, still end at once: after a loss of all machines, recovery must not wait for hundreds of stops.

By reading; /restart/unconfirmed_starts_are_stopped_at_the_next_incarnation fails before (no stop, the task is started again) and passes now.

--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -266,6 +266,23 @@
     }
 }
 
+/* A start that no report confirmed may still reach the present incarnation if
+   its agent restarted as well and forgot it. Such a run is stopped there
+   before it counts as ended. */
+static void
+unconfirmed_runs_stop (struct hk_instance *in, int64_t now)
+{
+  struct hk_run *run;
+
+  LIST_FOREACH (run, &in->runs, link)
+  if (run->instance_start_time_ms < in->start_time_ms && run->ordered_ms
+      && !run->started_ms && run->reported_ms != now)
+    {
+      run->instance_start_time_ms = in->start_time_ms;
+      hk_engine_run_stop (run);
+    }
+}
+
 /* Ends unwanted runs that were placed here but never ordered: they need no
    stop order. Returns whether there were any. */
 static gboolean
@@ -354,6 +371,7 @@
   pass_needed = instance_update (in, args, now) || pass_needed;
   interference_seed (c, args);
   report_apply (l, args, now);
+  unconfirmed_runs_stop (in, now);
   runs_end_lost (c, in, in->start_time_ms, now, "endpoint restarted", now);
   coord_interference_learn (c, in, now);
   missing_runs_reorder (in, now);
--- a/tests/coord/coord_support.c
+++ b/tests/coord/coord_support.c
@@ -123,7 +123,7 @@
 {
   hk_sync_args args = { .agent = (char *)a->name,
                         .domain = (char *)"d",
-                        .endpoint_started_ms = 5,
+                        .endpoint_started_ms = a->endpoint_started_ms,
                         .described = TRUE,
                         .draining = a->draining,
                         .drain_left_ms = a->draining ? 60000 : 0,
@@ -156,6 +156,7 @@
 {
   memset (a, 0, sizeof *a);
   a->name = name;
+  a->endpoint_started_ms = 5;
   hk_rpc_channel_init (&a->channel, address, HK_COORD_PROGRAM, HK_COORD_V1);
 }
 
--- a/tests/coord/coord_support.h
+++ b/tests/coord/coord_support.h
@@ -14,6 +14,7 @@
  * @n_runs: number of @runs.
  * @ends: ends of its next report.
  * @n_ends: number of @ends.
+ * @endpoint_started_ms: start time of its endpoint in its reports.
  * @draining: whether its reports say that its endpoint drains.
  * @n_replies: replies to the last report, 0 or 1.
  * @leading: whether the last reply came from the leader.
@@ -32,6 +33,7 @@
   unsigned n_runs;
   hk_run_end ends[8];
   unsigned n_ends;
+  int64_t endpoint_started_ms;
   gboolean draining;
   int n_replies;
   gboolean leading;
--- a/tests/coord/test_restart.c
+++ b/tests/coord/test_restart.c
@@ -25,10 +25,9 @@
   return f->leaving.stops >= 2;
 }
 
-/* Two service tasks run on an instance that drains, and another instance has
-   room for them, so the coordinator wants them stopped. */
+/* Two service tasks are ordered on an instance; no report shows them yet. */
 static void
-fixture_init (struct fixture *f)
+fixture_start (struct fixture *f)
 {
   g_autofree char *address = NULL;
   struct request_result a;
@@ -43,6 +42,14 @@
   send_request_with_flags (f->c, HK_JOB_REQUEST_SUBMIT, JOB, HK_STEP_SERVICE,
                            &a);
   test_run_until (two_started, &f->leaving);
+}
+
+/* The tasks run, the instance drains and another one has room for them, so the
+   coordinator wants them stopped. */
+static void
+fixture_init (struct fixture *f)
+{
+  fixture_start (f);
   report (&f->leaving);
   f->leaving.draining = TRUE;
   test_run_until (stops_ordered, f);
@@ -59,12 +66,12 @@
 }
 
 static void
-report_ends (struct fixture *f)
+report_ends (struct fixture *f, hk_end_how how)
 {
   for (unsigned i = 0; i < f->leaving.n_runs; i++)
     f->leaving.ends[i] = (hk_run_end){ .task = f->leaving.runs[i].task,
                                        .run = f->leaving.runs[i].run,
-                                       .how = HK_END_STOPPED,
+                                       .how = how,
                                        .checkpoint = (char *)"" };
   f->leaving.n_ends = f->leaving.n_runs;
   f->leaving.n_runs = 0;
@@ -99,7 +106,7 @@
     }
   g_assert_cmpint (f.leaving.stops, >=, 2);
   g_assert_cmpint (f.other.starts, ==, 0);
-  report_ends (&f);
+  report_ends (&f, HK_END_STOPPED);
   test_run_until (both_started_elsewhere, &f);
   fixture_finish (&f);
 }
@@ -124,6 +131,37 @@
   fixture_finish (&f);
 }
 
+static gboolean
+replaced (void *user)
+{
+  struct fixture *f = user;
+
+  report (&f->leaving);
+  return f->leaving.starts >= 2;
+}
+
+/* Guards against two runs of a task at once: agent and endpoint restarted, and
+   a start that the former agent may have sent was written off. */
+static void
+unconfirmed_starts_are_stopped_at_the_next_incarnation (void)
+{
+  struct fixture f;
+
+  fixture_start (&f);
+  f.leaving.n_runs = 0;
+  f.leaving.endpoint_started_ms++;
+  f.leaving.starts = 0;
+  for (int i = 0; i < 4; i++)
+    report (&f.leaving);
+  g_assert_cmpint (f.leaving.stops, >=, 2);
+  g_assert_cmpint (f.leaving.starts, ==, 0);
+  f.leaving.n_runs = 2;
+  report_ends (&f, HK_END_REFUSED);
+  f.leaving.n_ends = 0;
+  test_run_until (replaced, &f);
+  fixture_finish (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -133,5 +171,6 @@
 #define ADD(name) g_test_add_func ("/restart/" #name, name)
   ADD (runs_of_a_restarted_agent_are_stopped_before_they_are_placed_again);
   ADD (runs_missing_on_a_draining_instance_are_stopped_first);
+  ADD (unconfirmed_starts_are_stopped_at_the_next_incarnation);
   return g_test_run ();
 }
