Scenarios wait until the store accepts connections

scenario-resume-agent-killed failed once in 0.1 s, at a load average of about 20: "command line exited with 6 instead of 0: Could not connect". Its log shows why: the runner applies the tables as soon as it has started the store, whose log was still empty, and nothing waits until the store listens. All scenarios start so.

The runner now connects to the store before it applies the tables; no check is changed. With a store that listens 0.3 s late (trial) scenario whole-path fails with the same message before, and passes now.

--- a/tests/scenario/cluster.c
+++ b/tests/scenario/cluster.c
@@ -13,6 +13,7 @@
 #include "hyssopkeel/clock.h"
 
 #define SPIN_MAX_MS 10
+#define START_LIMIT_MS 20000
 #define EXIT_LIMIT_MS 60000
 
 enum port
@@ -339,6 +340,25 @@
     }
 }
 
+void
+cluster_wait_store (struct cluster *c)
+{
+  g_autoptr (GSocketClient) client = g_socket_client_new ();
+  g_autofree char *address = address_text (c, PORT_STORE);
+  g_autoptr (GSocketConnection) connection = NULL;
+  int64_t limit = hk_clock_ms () + START_LIMIT_MS;
+
+  while (!connection && hk_clock_ms () < limit)
+    {
+      connection
+          = g_socket_client_connect_to_host (client, address, 0, NULL, NULL);
+      if (!connection)
+        cluster_spin ();
+    }
+  if (!connection)
+    g_error ("the store does not accept connections");
+}
+
 void
 cluster_finish (struct cluster *c)
 {
--- a/tests/scenario/cluster.h
+++ b/tests/scenario/cluster.h
@@ -75,6 +75,11 @@
  */
 void cluster_start (struct cluster *c, const struct cluster_options *o);
 
+/**
+ * cluster_wait_store() - wait until the store accepts connections.
+ */
+void cluster_wait_store (struct cluster *c);
+
 /**
  * cluster_finish() - kill all processes, close all links and remove
  * the directory.
--- a/tests/scenario/commands.c
+++ b/tests/scenario/commands.c
@@ -161,6 +161,7 @@
   s->started = TRUE;
   if (scenario_number (w, "bare", 0))
     return;
+  cluster_wait_store (&s->cluster);
   scenario_run (s, "apply setup %s/tables.json", g_getenv ("HK_SCRIPT_DIR"));
   for (int i = 1; i <= o.entries; i++)
     {
