--- a/tests/runner/test_unanswered.c
+++ b/tests/runner/test_unanswered.c
@@ -77,6 +77,34 @@
   fixture_finish (&f);
 }
 
+/* Guards against two runs of one task: an agent restarted with starts in
+   flight, and its successor refused the repeated orders without a stop. */
+static void
+starts_of_a_former_agent_run_once (void)
+{
+  struct hk_runner_options options = { .name = "a1",
+                                       .domain = "d",
+                                       .authority = { 12000, 1000, 600 },
+                                       .lease_max_ms = 6000 };
+  struct fixture f;
+
+  fixture_init (&f);
+  f.rt.work_ms = 900;
+  f.rt.delay_starts = 2;
+  send_request (&f, 0, HK_JOB_REQUEST_SUBMIT);
+  test_run_until (two_starts_delayed, &f.rt);
+  hk_runner_free (f.runner);
+  f.runner = hk_runner_new (&f.store.base, &f.rt.base, &options);
+  hk_runner_start (f.runner);
+  /* The agent does not know the capacity yet and refuses what it is ordered.
+   */
+  test_run_for (500);
+  report_ready (&f);
+  test_run_until (two_running, &f.rt);
+  check_once (&f);
+  fixture_finish (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -86,5 +114,6 @@
 #define ADD(name) g_test_add_func ("/unanswered/" #name, name)
   ADD (unanswered_starts_are_stopped_after_a_crash);
   ADD (unanswered_attempts_are_stopped_after_the_end);
+  ADD (starts_of_a_former_agent_run_once);
   return g_test_run ();
 }
