Drop pending watch events when a test finishes its store

The kernel's line shows a jump into the data of GLib: a g_tree_lookup() with the compare function of a freed tree. An event of a watch that was still to be delivered used the store after memory_store_finish(), in the frame of a test that had returned; it takes a commit that is carried out just before the end of a test.

Finishing the store removes its pending events. No check is changed.

--- a/tests/support/memory_store.c
+++ b/tests/support/memory_store.c
@@ -191,8 +191,18 @@
 {
   struct memory_store *s;
   char *key;
+  guint source;
+  LIST_ENTRY (watch_event) link;
 };
 
+static void
+free_event (struct watch_event *event)
+{
+  LIST_REMOVE (event, link);
+  g_free (event->key);
+  g_free (event);
+}
+
 static gboolean
 deliver_event (gpointer data)
 {
@@ -207,8 +217,7 @@
   LIST_FOREACH (w, &event->s->watches, link)
   if (g_str_has_prefix (event->key, w->prefix))
     w->ops->event (&kv, w->user);
-  g_free (event->key);
-  g_free (event);
+  free_event (event);
   return G_SOURCE_REMOVE;
 }
 
@@ -222,7 +231,8 @@
   event = g_new0 (struct watch_event, 1);
   event->s = s;
   event->key = g_strdup (key);
-  g_idle_add (deliver_event, event);
+  event->source = g_idle_add (deliver_event, event);
+  LIST_INSERT_HEAD (&s->events, event, link);
 }
 
 static gboolean
@@ -362,6 +372,13 @@
 void
 memory_store_finish (struct memory_store *s)
 {
+  struct watch_event *event;
+
+  while ((event = LIST_FIRST (&s->events)))
+    {
+      g_source_remove (event->source);
+      free_event (event);
+    }
   while (memory_store_answer_read (s))
     continue;
   g_queue_free (s->deferred_reads);
--- a/tests/support/memory_store.h
+++ b/tests/support/memory_store.h
@@ -23,6 +23,7 @@
  *                  first.
  * @delayed: delayed transactions, oldest first.
  * @watches: open watches.
+ * @events: events that are still to be delivered.
  */
 struct memory_store
 {
@@ -37,6 +38,7 @@
   GQueue *deferred_reads;
   GQueue *delayed;
   LIST_HEAD (, hk_store_watch) watches;
+  LIST_HEAD (, watch_event) events;
 };
 
 /**
