Accept the connections that wait before an entry closes its listener

Cause: a stopping entry shut its listening sockets down. The kernel resets the connections that it has established and the entry has not accepted, and those in a handshake. Their clients saw "Connection reset by peer" instead of an answer or a refused connection. Change: a socket filter drops the first segment of new connections, those that have begun are accepted for a moment and until none waits, and only then the sockets are shut down. The RPC servers of agents need no such step: they serve on for 500 ms after their entries heard that they leave. A lost request prints its error.

--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -1,16 +1,19 @@
 /* HTTP server for clients, based on libsoup: requests by route, tickets, jobs
    and status pages. */
 #include <string.h>
-#include <sys/socket.h>
 
 #include "dispatch.h"
 #include "entry.h"
 #include "http_response.h"
 #include "http_limits.h"
+#include "http_listener.h"
 #include "http_jobs.h"
 #include "http_status.h"
 
 #define RESPONSE_FLUSH_MS 300
+/* Time for a connection that has begun to be established. */
+#define HANDSHAKE_MS 100
+#define ACCEPT_CHECK_MS 10
 #define DEADLINE_MAX_MS 3600000
 #define KEY_MAX_BYTES 200
 #define TEAM_MAX_BYTES 64
@@ -283,22 +286,31 @@
   return HK_OK;
 }
 
-/* Refuses new connections but keeps open ones. libsoup can only close both
-   together, so its listening sockets are shut down directly. */
 static void
 close_listener (void *user)
 {
   struct hk_entry_http *h = user;
-  GSList *listeners = soup_server_get_listeners (h->server);
 
-  for (GSList *l = listeners; l; l = l->next)
-    shutdown (g_socket_get_fd (l->data), SHUT_RD);
-  g_slist_free (listeners);
+  if (hk_http_listener_pending (h->server))
+    {
+      hk_timer_set (&h->drain_timer, ACCEPT_CHECK_MS, close_listener, h);
+      return;
+    }
+  hk_http_listener_close (h->server);
   h->listener_closed = TRUE;
   if (h->open_requests == 0)
     hk_timer_set (&h->drain_timer, RESPONSE_FLUSH_MS, finish_drain, h);
 }
 
+static void
+block_listener (void *user)
+{
+  struct hk_entry_http *h = user;
+
+  hk_http_listener_block (h->server);
+  hk_timer_set (&h->drain_timer, HANDSHAKE_MS, close_listener, h);
+}
+
 /* Waits first, so that the load balancer can see that this entry is not
    ready. */
 static void
@@ -306,7 +318,7 @@
 {
   struct hk_entry_http *h = (struct hk_entry_http *)task;
 
-  hk_timer_set (&h->drain_timer, h->entry->settings->leave_ms, close_listener,
+  hk_timer_set (&h->drain_timer, h->entry->settings->leave_ms, block_listener,
                 h);
 }
 
--- a/tests/scenario/traffic.c
+++ b/tests/scenario/traffic.c
@@ -93,6 +93,8 @@
   if (body && request->status != SOUP_STATUS_OK)
     request->error_body
         = g_strndup (g_bytes_get_data (body, NULL), g_bytes_get_size (body));
+  if (gerr)
+    request->error_body = g_strdup (gerr->message);
   request->body_as_expected
       = body && g_bytes_get_size (body) == strlen (request->body)
         && memcmp (g_bytes_get_data (body, NULL), request->body,
--- a/tests/scenario/traffic.h
+++ b/tests/scenario/traffic.h
@@ -18,7 +18,8 @@
  * @status: HTTP status, 0 without a response.
  * @body_as_expected: FALSE if a response with status 200 should have echoed
  *                    @body and did not.
- * @error_body: body of a response with a status other than 200, or NULL.
+ * @error_body: body of a response with a status other than 200, or why there
+ *              was no response, or NULL.
  */
 struct traffic_request
 {
