Listen with the same long backlog at every server

Cause: the HTTP server of an entry, and the stand-ins, kept libsoup's backlog of 10 connections. The kernel drops the SYN packets of further ones, which are repeated after a second, and falls back to SYN cookies.

--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -9,6 +9,7 @@
 #include "http_listener.h"
 #include "http_jobs.h"
 #include "http_status.h"
+#include "hyssopkeel/listener.h"
 
 #define RESPONSE_FLUSH_MS 300
 /* Time for a connection that has begun to be established. */
@@ -269,16 +270,17 @@
 {
   struct hk_entry_http *h = (struct hk_entry_http *)task;
   const char *address = h->entry->settings->http;
-  g_autoptr (GSocketAddress) addr = hk_address_parse (address, err);
+  g_autoptr (GSocket) socket = NULL;
   g_autoptr (GError) gerr = NULL;
+  int rc = hk_listener_new (&socket, "http.listen", address, err);
 
-  if (!addr)
-    return HK_ERR_INVALID;
+  if (rc < 0)
+    return rc;
   h->server = soup_server_new ("server-header", "hyssopkeel", NULL);
   soup_server_add_handler (h->server, NULL, on_request, h, NULL);
   g_signal_connect (h->server, "request-started",
                     G_CALLBACK (on_request_started), h);
-  if (!soup_server_listen (h->server, addr, 0, &gerr))
+  if (!soup_server_listen_socket (h->server, socket, 0, &gerr))
     {
       g_clear_object (&h->server);
       return hk_error_from_gerror (err, "http.listen", address, gerr);
--- a/src/rpc/rpc_server.c
+++ b/src/rpc/rpc_server.c
@@ -4,8 +4,9 @@
 
 #include <string.h>
 
+#include "hyssopkeel/listener.h"
+
 #define REPLY_HEADER_MAX_BYTES 64
-#define LISTEN_BACKLOG_CONNECTIONS 512
 #define AUTH_BODY_MAX_BYTES 400
 
 /* An accepted connection. Freed once it is closed and each of its requests
@@ -201,25 +202,11 @@
 hk_rpc_server_start (struct hk_rpc_server *srv, const char *address,
                      struct hk_error *err)
 {
-  g_autoptr (GSocketAddress) addr = hk_address_parse (address, err);
-  g_autoptr (GError) gerr = NULL;
+  int rc = hk_listener_new (&srv->socket, "rpc.listen", address, err);
 
   LIST_INIT (&srv->clients);
-  if (!addr)
-    return HK_ERR_INVALID;
-  srv->socket
-      = g_socket_new (g_socket_address_get_family (addr), G_SOCKET_TYPE_STREAM,
-                      G_SOCKET_PROTOCOL_TCP, &gerr);
-  if (!srv->socket)
-    return hk_error_from_gerror (err, "rpc.listen", address, gerr);
-  g_socket_set_blocking (srv->socket, FALSE);
-  g_socket_set_listen_backlog (srv->socket, LISTEN_BACKLOG_CONNECTIONS);
-  if (!g_socket_bind (srv->socket, addr, TRUE, &gerr)
-      || !g_socket_listen (srv->socket, &gerr))
-    {
-      g_clear_object (&srv->socket);
-      return hk_error_from_gerror (err, "rpc.listen", address, gerr);
-    }
+  if (rc < 0)
+    return rc;
   srv->source = g_socket_create_source (srv->socket, G_IO_IN, NULL);
   g_source_set_callback (srv->source, G_SOURCE_FUNC (on_accept), srv, NULL);
   g_source_attach (srv->source, NULL);
--- a/tools/standin_http.c
+++ b/tools/standin_http.c
@@ -4,7 +4,7 @@
 #include <glib-unix.h>
 #include <string.h>
 
-#include "hyssopkeel/rpc_conn.h"
+#include "hyssopkeel/listener.h"
 
 void
 standin_reply (SoupServerMessage *msg, guint status, json_object *obj)
@@ -35,15 +35,16 @@
 standin_listen (SoupServer *server, const char *address)
 {
   struct hk_error err = { 0 };
-  g_autoptr (GSocketAddress) addr = hk_address_parse (address, &err);
+  g_autoptr (GSocket) socket = NULL;
   g_autoptr (GError) gerr = NULL;
+  int rc = hk_listener_new (&socket, "http.listen", address, &err);
 
-  if (!addr)
+  if (rc < 0)
     {
       g_printerr ("%s: %s\n", err.peer, err.text);
-      return HK_ERR_INVALID;
+      return rc;
     }
-  if (!soup_server_listen (server, addr, 0, &gerr))
+  if (!soup_server_listen_socket (server, socket, 0, &gerr))
     {
       g_printerr ("%s: %s\n", address, gerr->message);
       return HK_ERR_IO;
