Wait until the store stand-in listens before the tables are applied

Cause: the scenario runner starts the store stand-in and at once the command line that applies the tables. At a load average of about 26 the stand-in was not listening yet in 2 of 72 runs of graceful-both: "command line exited with 6 instead of 0 ... Connection refused". The check itself is right: the command line reports a store that cannot be reached. It stays as it is. Change: the command `cluster` first waits for an answer of the store. Test: with a stand-in that starts a second late, graceful-accept failed in 3 of 3 runs before and passed in 3 of 3.

--- a/tests/scenario/commands.c
+++ b/tests/scenario/commands.c
@@ -142,6 +142,22 @@
 
 /* Cluster */
 
+/* Any answer shows that the store listens. */
+static void
+wait_for_store (struct scenario *s)
+{
+  int64_t limit = hk_clock_ms () + WAIT_LIMIT_MS;
+  g_autofree char *url = cluster_url (&s->cluster, "store", "/");
+  guint status = 0;
+
+  while (status == 0)
+    {
+      g_free (cluster_http ("GET", url, NULL, &status));
+      if (status == 0 && hk_clock_ms () > limit)
+        scenario_fail (s, "the store stand-in does not listen");
+    }
+}
+
 static void
 do_cluster (struct scenario *s, char **w)
 {
@@ -159,6 +175,7 @@
   cluster_start (&s->cluster, &o);
   traffic_init (&s->traffic, &s->cluster);
   s->started = TRUE;
+  wait_for_store (s);
   if (scenario_number (w, "bare", 0))
     return;
   scenario_run (s, "apply setup %s/tables.json", g_getenv ("HK_SCRIPT_DIR"));
