--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -1,16 +1,20 @@
 /* HTTP server for clients, based on libsoup: requests by route, tickets, jobs
    and status pages. */
 #include <string.h>
-#include <sys/socket.h>
 
 #include "dispatch.h"
 #include "entry.h"
 #include "http_response.h"
 #include "http_limits.h"
+#include "http_listener.h"
 #include "http_jobs.h"
 #include "http_status.h"
+#include "hyssopkeel/listener.h"
 
 #define RESPONSE_FLUSH_MS 300
+/* Time for a connection that has begun to be established. */
+#define HANDSHAKE_MS 100
+#define ACCEPT_CHECK_MS 10
 #define DEADLINE_MAX_MS 3600000
 #define KEY_MAX_BYTES 200
 #define TEAM_MAX_BYTES 64
@@ -266,16 +270,17 @@
 {
   struct hk_entry_http *h = (struct hk_entry_http *)task;
   const char *address = h->entry->settings->http;
-  g_autoptr (GSocketAddress) addr = hk_address_parse (address, err);
+  g_autoptr (GSocket) socket = NULL;
   g_autoptr (GError) gerr = NULL;
+  int rc = hk_listener_new (&socket, "http.listen", address, err);
 
-  if (!addr)
-    return HK_ERR_INVALID;
+  if (rc < 0)
+    return rc;
   h->server = soup_server_new ("server-header", "hyssopkeel", NULL);
   soup_server_add_handler (h->server, NULL, on_request, h, NULL);
   g_signal_connect (h->server, "request-started",
                     G_CALLBACK (on_request_started), h);
-  if (!soup_server_listen (h->server, addr, 0, &gerr))
+  if (!soup_server_listen_socket (h->server, socket, 0, &gerr))
     {
       g_clear_object (&h->server);
       return hk_error_from_gerror (err, "http.listen", address, gerr);
@@ -283,22 +288,31 @@
   return HK_OK;
 }
 
-/* Refuses new connections but keeps open ones. libsoup can only close both
-   together, so its listening sockets are shut down directly. */
 static void
 close_listener (void *user)
 {
   struct hk_entry_http *h = user;
-  GSList *listeners = soup_server_get_listeners (h->server);
 
-  for (GSList *l = listeners; l; l = l->next)
-    shutdown (g_socket_get_fd (l->data), SHUT_RD);
-  g_slist_free (listeners);
+  if (hk_http_listener_pending (h->server))
+    {
+      hk_timer_set (&h->drain_timer, ACCEPT_CHECK_MS, close_listener, h);
+      return;
+    }
+  hk_http_listener_close (h->server);
   h->listener_closed = TRUE;
   if (h->open_requests == 0)
     hk_timer_set (&h->drain_timer, RESPONSE_FLUSH_MS, finish_drain, h);
 }
 
+static void
+block_listener (void *user)
+{
+  struct hk_entry_http *h = user;
+
+  hk_http_listener_block (h->server);
+  hk_timer_set (&h->drain_timer, HANDSHAKE_MS, close_listener, h);
+}
+
 /* Waits first, so that the load balancer can see that this entry is not
    ready. */
 static void
@@ -306,7 +320,7 @@
 {
   struct hk_entry_http *h = (struct hk_entry_http *)task;
 
-  hk_timer_set (&h->drain_timer, h->entry->settings->leave_ms, close_listener,
+  hk_timer_set (&h->drain_timer, h->entry->settings->leave_ms, block_listener,
                 h);
 }
 
