Test starts at endpoints whose capacity shrinks

Change: the fake endpoint has a capacity, counts starts beyond it or refuses them, and may take its time to stop a run. Three tests: nothing starts beyond a capacity that shrank beneath what runs, a start without a reply is not retried beyond it, and a smaller new incarnation is not filled by the size of the one before.

--- /dev/null
+++ b/tests/runner/test_capacity.c
@@ -0,0 +1,263 @@
+/* Agents with a coordinator and a fake endpoint whose capacity shrinks, grows
+   or is unknown. Tests that no start exceeds it, that what is free is used at
+   once, and that refused starts are not repeated in a loop. */
+#include <glib.h>
+#include <string.h>
+
+#include "../support/jobs.h"
+#include "../support/memory_runtime.h"
+#include "../support/memory_store.h"
+#include "hyssopkeel/clock.h"
+#include "hyssopkeel/coord.h"
+#include "hyssopkeel/log.h"
+#include "hyssopkeel/runner.h"
+
+#define JOB "1111111111111111"
+/* Each task takes one CPU. */
+#define TASK_CPU_MILLI 1000
+#define FOREVER_MS 100000
+
+struct fixture
+{
+  struct memory_store store;
+  struct hk_coord *coord;
+  struct memory_runtime rt;
+  struct hk_runner *runner;
+  int n_replies;
+  unsigned state;
+  int n_expected; /* for has_expected() */
+};
+
+static gboolean
+is_leading (void *user)
+{
+  return hk_coord_leading (user);
+}
+
+static gboolean
+has_reply (void *user)
+{
+  return ((struct fixture *)user)->n_replies > 0;
+}
+
+static gboolean
+has_expected (void *user)
+{
+  struct fixture *f = user;
+
+  return memory_runtime_n_running (&f->rt) == f->n_expected;
+}
+
+static void
+wait_running (struct fixture *f, int n)
+{
+  f->n_expected = n;
+  test_run_until (has_expected, f);
+}
+
+static void
+runner_start (struct fixture *f)
+{
+  struct hk_runner_options options = { .name = "a1",
+                                       .domain = "d",
+                                       .authority = { 12000, 1000, 600 },
+                                       .lease_max_ms = 6000 };
+
+  f->runner = hk_runner_new (&f->store.base, &f->rt.base, &options);
+  hk_runner_start (f->runner);
+}
+
+static void
+fixture_init (struct fixture *f)
+{
+  struct hk_coord_options options = HK_COORD_OPTIONS_INIT;
+  g_autofree char *address = test_address ();
+  struct hk_error err;
+
+  memset (f, 0, sizeof *f);
+  memory_store_init (&f->store);
+  memory_runtime_init (&f->rt);
+  f->rt.work_ms = FOREVER_MS;
+  options.name = "e1";
+  options.address = address;
+  options.authority.grant_ms = 1000;
+  options.authority.hold_ms = 600;
+  f->coord = hk_coord_new (&f->store.base, &options);
+  g_assert_cmpint (hk_coord_start (f->coord, &err), ==, HK_OK);
+  test_run_until (is_leading, f->coord);
+  runner_start (f);
+}
+
+static void
+fixture_finish (struct fixture *f)
+{
+  hk_runner_free (f->runner);
+  hk_coord_free (f->coord);
+  test_run_for (120);
+  memory_runtime_finish (&f->rt);
+  memory_store_finish (&f->store);
+}
+
+/* The endpoint reports that it has room for so many tasks. */
+static void
+report_capacity_with_label (struct fixture *f, unsigned n_tasks,
+                            const char *label)
+{
+  char *labels[] = { (char *)label, NULL };
+  struct hk_endpoint_report r = { .start_time_ms = f->rt.start_time_ms,
+                                  .pool = "pool",
+                                  .labels = labels,
+                                  .cpu_milli = n_tasks * TASK_CPU_MILLI,
+                                  .memory_mb = 4000 };
+
+  hk_runner_report (f->runner, &r);
+}
+
+static void
+report_capacity (struct fixture *f, unsigned n_tasks)
+{
+  report_capacity_with_label (f, n_tasks, "a");
+}
+
+static void
+set_capacity (struct fixture *f, unsigned n_tasks)
+{
+  f->rt.capacity = (int)n_tasks;
+  report_capacity (f, n_tasks);
+}
+
+static void
+on_reply (const hk_job_request_reply *reply, void *user)
+{
+  struct fixture *f = user;
+
+  g_assert_cmpint (reply->outcome, ==, HK_JOB_REQUEST_DONE);
+  f->state = reply->state;
+  f->n_replies++;
+}
+
+static void
+send_request (struct fixture *f, hk_job_request_kind kind, hk_job_spec *spec)
+{
+  hk_job_request_args args
+      = { .kind = kind, .id = (char *)JOB, .queue = (char *)"batch" };
+
+  if (spec)
+    {
+      args.job.job_len = 1;
+      args.job.job_val = spec;
+    }
+  f->n_replies = 0;
+  hk_coord_request (f->coord, &args, 5000, on_reply, f);
+  test_run_until (has_reply, f);
+}
+
+static void
+submit_with_label (struct fixture *f, unsigned n_tasks, const char *label)
+{
+  const unsigned counts[] = { n_tasks, 0 };
+  hk_job_spec *spec = test_job_spec_new (JOB, counts, 0);
+
+  free (spec->steps.steps_val[0].label);
+  spec->steps.steps_val[0].label = strdup (label);
+  send_request (f, HK_JOB_REQUEST_SUBMIT, spec);
+  test_job_spec_free (spec);
+}
+
+static void
+submit (struct fixture *f, unsigned n_tasks)
+{
+  submit_with_label (f, n_tasks, "");
+}
+
+static void
+wait_job_done (struct fixture *f)
+{
+  int64_t limit = hk_clock_ms () + TEST_LIMIT_MS;
+
+  for (;;)
+    {
+      send_request (f, HK_JOB_REQUEST_STATE, NULL);
+      if (f->state == 2)
+        return;
+      g_assert_cmpint (hk_clock_ms (), <, limit);
+      test_run_for (25);
+    }
+}
+
+static void
+nothing_starts_beyond_a_shrunk_capacity (void)
+{
+  struct fixture f;
+
+  fixture_init (&f);
+  f.rt.work_ms = 300;
+  set_capacity (&f, 4);
+  submit (&f, 12);
+  wait_running (&f, 4);
+  set_capacity (&f, 2);
+  g_assert_cmpint (memory_runtime_n_running (&f.rt), ==, 4);
+  wait_job_done (&f);
+  g_assert_cmpint (f.rt.n_started, ==, 12);
+  g_assert_cmpint (f.rt.n_excess_starts, ==, 0);
+  fixture_finish (&f);
+}
+
+static gboolean
+two_starts_delayed (void *user)
+{
+  return ((struct fixture *)user)->rt.delayed->len >= 2;
+}
+
+/* A start without a reply is not tried again once there is no room for it. */
+static void
+retried_starts_respect_a_shrunk_capacity (void)
+{
+  struct fixture f;
+
+  fixture_init (&f);
+  set_capacity (&f, 3);
+  f.rt.delay_starts = 2;
+  submit (&f, 2);
+  test_run_until (two_starts_delayed, &f);
+  set_capacity (&f, 1);
+  test_run_for (400);
+  g_assert_cmpint (f.rt.n_excess_starts, ==, 0);
+  g_assert_cmpint (memory_runtime_n_running (&f.rt), <=, 1);
+  fixture_finish (&f);
+}
+
+/* A new incarnation may be smaller. Until it says so, the size of the one
+   before does not count. */
+static void
+restarted_endpoints_may_be_smaller (void)
+{
+  struct fixture f;
+
+  fixture_init (&f);
+  set_capacity (&f, 4);
+  submit (&f, 4);
+  wait_running (&f, 4);
+  memory_runtime_restart (&f.rt);
+  f.rt.capacity = 1;
+  test_run_for (500);
+  g_assert_cmpint (memory_runtime_n_running (&f.rt), ==, 0);
+  report_capacity (&f, 1);
+  wait_running (&f, 1);
+  test_run_for (300);
+  g_assert_cmpint (f.rt.n_excess_starts, ==, 0);
+  fixture_finish (&f);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  if (g_test_verbose ())
+    hk_log_init ("info");
+#define ADD(name) g_test_add_func ("/capacity/" #name, name)
+  ADD (nothing_starts_beyond_a_shrunk_capacity);
+  ADD (retried_starts_respect_a_shrunk_capacity);
+  ADD (restarted_endpoints_may_be_smaller);
+  return g_test_run ();
+}
--- a/tests/support/memory_runtime.c
+++ b/tests/support/memory_runtime.c
@@ -13,6 +13,7 @@
   int64_t end_at_ms;
   gboolean fails;
   gboolean ended;
+  gboolean stopping;
   gboolean stopped_before_start; /* kept to refuse a start that arrives after
                                     the stop */
   hk_end_how how;
@@ -66,7 +67,10 @@
       if (now > rt->lease_end_ms)
         end_run (rt, run, HK_END_LEASE_EXPIRED);
       else if (now >= run->end_at_ms)
-        end_run (rt, run, run->fails ? HK_END_FAILED : HK_END_DONE);
+        end_run (rt, run,
+                 run->stopping ? HK_END_STOPPED
+                 : run->fails  ? HK_END_FAILED
+                               : HK_END_DONE);
     }
 }
 
@@ -136,8 +140,9 @@
 {
   struct run *run;
   int concurrent_runs = 1;
+  gboolean excess = memory_runtime_n_running (rt) >= rt->capacity;
 
-  update_runs (rt);
+  rt->n_start_calls++;
   if (fence < rt->fence || hk_clock_ms () > deadline_ms)
     return HK_ERR_CONFLICT;
   rt->fence = fence;
@@ -156,6 +161,10 @@
       if (run->ended && run->how == HK_END_DONE)
         rt->started_after_done++;
     }
+  if (excess && rt->rejects_excess)
+    return HK_ERR_CONFLICT;
+  if (excess)
+    rt->n_excess_starts++;
   rt->max_concurrent_runs = MAX (rt->max_concurrent_runs, concurrent_runs);
   rt->n_started++;
   run = g_new0 (struct run, 1);
@@ -230,8 +239,12 @@
       found->how = HK_END_STOPPED;
       g_ptr_array_add (rt->runs, found);
     }
-  else if (!found->ended)
-    end_run (rt, found, HK_END_STOPPED);
+  else if (!found->ended && !found->stopping)
+    {
+      found->stopping = TRUE;
+      found->end_at_ms = hk_clock_ms () + rt->stop_ms;
+      update_runs (rt);
+    }
   schedule_reply (rt, HK_OK, FALSE, done, user);
 }
 
@@ -295,6 +308,7 @@
   rt->base.ops = &ops;
   rt->start_time_ms = 1000;
   rt->work_ms = 50;
+  rt->capacity = G_MAXINT;
   rt->next_seq = 1;
   rt->runs = g_ptr_array_new_with_free_func (free_run);
   rt->delayed = g_ptr_array_new_with_free_func (free_delayed);
@@ -333,6 +347,19 @@
   rt->lease_end_ms = 0;
 }
 
+void
+memory_runtime_end_all (struct memory_runtime *rt)
+{
+  update_runs (rt);
+  for (guint i = 0; i < rt->runs->len; i++)
+    {
+      struct run *run = rt->runs->pdata[i];
+
+      if (!run->ended)
+        end_run (rt, run, HK_END_DONE);
+    }
+}
+
 int
 memory_runtime_n_running (struct memory_runtime *rt)
 {
--- a/tests/support/memory_runtime.h
+++ b/tests/support/memory_runtime.h
@@ -16,7 +16,12 @@
  * @stale_lists: number of next lists without running tasks, as if made before
  *               these started and overtaken by the replies to the starts.
  * @unreachable: every call fails as if no process listened.
+ * @capacity: runs that it has room for.
+ * @rejects_excess: starts beyond @capacity are refused.
+ * @stop_ms: duration of a stop.
+ * @n_start_calls: starts received.
  * @n_started: runs that started.
+ * @n_excess_starts: runs that started beyond @capacity.
  * @max_concurrent_runs: most runs of one task that ran at the same time.
  * @started_after_done: runs that started after one of the same task succeeded.
  * @n_refused: delayed starts that were refused.
@@ -37,7 +42,12 @@
   int delay_starts;
   int stale_lists;
   gboolean unreachable;
+  int capacity;
+  gboolean rejects_excess;
+  int64_t stop_ms;
+  int n_start_calls;
   int n_started;
+  int n_excess_starts;
   int max_concurrent_runs;
   int started_after_done;
   int n_refused;
@@ -61,6 +71,9 @@
 /** memory_runtime_restart() - crash and restart as a new incarnation. */
 void memory_runtime_restart (struct memory_runtime *rt);
 
+/** memory_runtime_end_all() - end all running tasks as done. */
+void memory_runtime_end_all (struct memory_runtime *rt);
+
 /** memory_runtime_n_running() - number of running tasks. */
 int memory_runtime_n_running (struct memory_runtime *rt);
 
