Report a changed capacity at once

Cause: an agent sent a report early only if its endpoint began or ceased to drain, and the coordinator scheduled a pass only then. Callers saw tasks wait for up to a delayed reply and a tick (300 and 100 ms) although there was room, and placements continue for as long where there was none any more. Change: a change of CPUs, memory or accelerators is reported at once, logged on both sides, and calls for a pass.

--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -81,13 +81,22 @@
   return g_strdup (text);
 }
 
+static gboolean
+capacity_changed (const struct hk_instance *in, const hk_sync_args *args)
+{
+  return args->described
+         && (!in->capacity_known || in->cpu_milli != args->cpu_milli
+             || in->memory_mb != args->memory_mb
+             || in->accelerators != args->accelerators);
+}
+
 /* Returns whether it may accept other runs than before. */
 static gboolean
 instance_update (struct hk_instance *in, const hk_sync_args *args, int64_t now)
 {
   gboolean changed = in->draining != (gboolean)args->draining
                      || in->leaving != (gboolean)args->leaving
-                     || !in->capacity_known;
+                     || capacity_changed (in, args);
 
   if (in->draining != (gboolean)args->draining)
     hk_log (HK_LOG_INFO, "sync", in->name, NULL,
@@ -98,11 +107,12 @@
   in->drain_until_ms = now + args->drain_left_ms;
   if (!args->described)
     return changed;
-  if (!in->capacity_known)
+  if (capacity_changed (in, args))
     hk_log (HK_LOG_INFO, "sync", in->name, NULL,
             "event=instance_described pool=%s cpu=%u memory_mb=%u "
-            "born=%" G_GINT64_FORMAT,
-            args->pool, args->cpu_milli, args->memory_mb, in->start_time_ms);
+            "accelerators=%u born=%" G_GINT64_FORMAT,
+            args->pool, args->cpu_milli, args->memory_mb, args->accelerators,
+            in->start_time_ms);
   in->capacity_known = TRUE;
   in->domain = text_update (in->domain, args->domain);
   in->pool = text_update (in->pool, args->pool);
--- a/src/runner/runner.c
+++ b/src/runner/runner.c
@@ -44,15 +44,24 @@
   return now < r->grant_until_ms;
 }
 
+static gboolean
+capacity_changed (const struct hk_runner *r,
+                  const struct hk_endpoint_report *report)
+{
+  return !r->described || r->cpu_milli != report->cpu_milli
+         || r->memory_mb != report->memory_mb
+         || r->accelerators != report->accelerators;
+}
+
 static void
 set_description (struct hk_runner *r, const struct hk_endpoint_report *report)
 {
-  if (!r->described)
+  if (capacity_changed (r, report))
     hk_log (HK_LOG_INFO, "runner", NULL, NULL,
             "event=endpoint_described pool=%s cpu=%u memory_mb=%u "
-            "born=%" G_GINT64_FORMAT,
+            "accelerators=%u born=%" G_GINT64_FORMAT,
             report->pool, report->cpu_milli, report->memory_mb,
-            report->start_time_ms);
+            report->accelerators, report->start_time_ms);
   g_free (r->pool);
   g_strfreev (r->labels);
   r->pool = g_strdup (report->pool);
@@ -67,7 +76,8 @@
 hk_runner_report (struct hk_runner *r, const struct hk_endpoint_report *report)
 {
   int64_t now = hk_clock_ms ();
-  gboolean changed = !r->described || r->draining != report->draining;
+  gboolean changed
+      = r->draining != report->draining || capacity_changed (r, report);
 
   if (report->start_time_ms < r->endpoint_start_ms)
     {
--- a/tests/runner/test_capacity.c
+++ b/tests/runner/test_capacity.c
@@ -185,6 +185,29 @@
     }
 }
 
+/* Room that appears at an endpoint is used before the next tick of the
+   coordinator and before its delayed reply. */
+static void
+growth_is_used_at_once (void)
+{
+  struct fixture f;
+  int64_t began_ms;
+
+  fixture_init (&f);
+  set_capacity (&f, 0);
+  submit (&f, 12);
+  test_run_for (400);
+  began_ms = hk_clock_ms ();
+  for (unsigned n = 1; n <= 12; n++)
+    {
+      set_capacity (&f, n);
+      wait_running (&f, (int)n);
+    }
+  g_assert_cmpint (hk_clock_ms () - began_ms, <, 12 * 50);
+  g_assert_cmpint (f.rt.n_excess_starts, ==, 0);
+  fixture_finish (&f);
+}
+
 static void
 nothing_starts_beyond_a_shrunk_capacity (void)
 {
@@ -256,6 +279,7 @@
   if (g_test_verbose ())
     hk_log_init ("info");
 #define ADD(name) g_test_add_func ("/capacity/" #name, name)
+  ADD (growth_is_used_at_once);
   ADD (nothing_starts_beyond_a_shrunk_capacity);
   ADD (retried_starts_respect_a_shrunk_capacity);
   ADD (restarted_endpoints_may_be_smaller);
