Replace the labels of an instance that restarted with others

Cause: the coordinator took a new list of labels only if its length differed. An endpoint whose next incarnation is of another kind kept the labels of the one before: tasks were placed on a kind that they may not run on, and tasks for the new kind waited for ever. Change: the texts are compared.

--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -90,6 +90,26 @@
              || in->accelerators != args->accelerators);
 }
 
+/* A new incarnation may have other labels. */
+static void
+labels_update (struct hk_instance *in, const hk_sync_args *args)
+{
+  u_int n = args->labels.labels_len;
+  gboolean same = in->labels && g_strv_length (in->labels) == n;
+  GPtrArray *list;
+
+  for (u_int i = 0; same && i < n; i++)
+    same = strcmp (in->labels[i], args->labels.labels_val[i].text) == 0;
+  if (same)
+    return;
+  list = g_ptr_array_new ();
+  for (u_int i = 0; i < n; i++)
+    g_ptr_array_add (list, g_strdup (args->labels.labels_val[i].text));
+  g_ptr_array_add (list, NULL);
+  g_strfreev (in->labels);
+  in->labels = (char **)g_ptr_array_free (list, FALSE);
+}
+
 /* Returns whether it may accept other runs than before. */
 static gboolean
 instance_update (struct hk_instance *in, const hk_sync_args *args, int64_t now)
@@ -119,16 +139,7 @@
   in->cpu_milli = args->cpu_milli;
   in->memory_mb = args->memory_mb;
   in->accelerators = args->accelerators;
-  if (!in->labels || g_strv_length (in->labels) != args->labels.labels_len)
-    {
-      GPtrArray *list = g_ptr_array_new ();
-
-      for (u_int i = 0; i < args->labels.labels_len; i++)
-        g_ptr_array_add (list, g_strdup (args->labels.labels_val[i].text));
-      g_ptr_array_add (list, NULL);
-      g_strfreev (in->labels);
-      in->labels = (char **)g_ptr_array_free (list, FALSE);
-    }
+  labels_update (in, args);
   return changed;
 }
 
--- a/tests/runner/test_capacity.c
+++ b/tests/runner/test_capacity.c
@@ -272,6 +272,23 @@
   fixture_finish (&f);
 }
 
+/* Guards against placement by the labels of an earlier incarnation: a new list
+   of the same length was ignored. */
+static void
+restarted_endpoints_may_have_other_labels (void)
+{
+  struct fixture f;
+
+  fixture_init (&f);
+  report_capacity_with_label (&f, 4, "a");
+  test_run_for (400);
+  memory_runtime_restart (&f.rt);
+  report_capacity_with_label (&f, 4, "b");
+  submit_with_label (&f, 1, "b");
+  wait_running (&f, 1);
+  fixture_finish (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -283,5 +300,6 @@
   ADD (nothing_starts_beyond_a_shrunk_capacity);
   ADD (retried_starts_respect_a_shrunk_capacity);
   ADD (restarted_endpoints_may_be_smaller);
+  ADD (restarted_endpoints_may_have_other_labels);
   return g_test_run ();
 }
