Place no best-effort task where capacity is exceeded

Cause: a best-effort task books no CPUs, so the coordinator placed it, and moved it, also where service tasks have more CPUs than an endpoint that shrank still has; one that waits long, anywhere. Its agent starts nothing while a sum is over the capacity, so the task was placed there and refused again and again. Change: an instance with less than no free CPU takes no task.

--- a/src/coord/coord_candidates.c
+++ b/src/coord/coord_candidates.c
@@ -119,7 +119,7 @@
   view_instance (c, v, in, task->step, now);
   free_milli = spec->flags & HK_STEP_BEST_EFFORT ? v->best_effort_free_milli
                                                  : v->cpu_free_milli;
-  return free_milli >= (int64_t)spec->cpu_milli
+  return v->cpu_free_milli >= 0 && free_milli >= (int64_t)spec->cpu_milli
          && v->memory_free_mb >= (int64_t)spec->memory_mb
          && v->accelerators_free >= (int64_t)spec->accelerators
          && (spec->per_instance_max == 0
--- a/src/policy/job_placement.c
+++ b/src/policy/job_placement.c
@@ -38,7 +38,8 @@
   int64_t free_milli
       = need->best_effort ? v->best_effort_free_milli : v->cpu_free_milli;
 
-  if (!v->usable)
+  /* Where the capacity has shrunk beneath what runs, agents start nothing. */
+  if (!v->usable || v->cpu_free_milli < 0)
     return FALSE;
   if (need->per_instance_max > 0 && v->same_step >= need->per_instance_max)
     return FALSE;
--- a/tests/runner/test_capacity.c
+++ b/tests/runner/test_capacity.c
@@ -9,6 +9,7 @@
 #include "../support/memory_store.h"
 #include "hyssopkeel/clock.h"
 #include "hyssopkeel/coord.h"
+#include "hyssopkeel/job_placement.h"
 #include "hyssopkeel/log.h"
 #include "hyssopkeel/runner.h"
 
@@ -289,6 +290,31 @@
   fixture_finish (&f);
 }
 
+/* Guards against a best-effort task that is placed, for want of any run of its
+   job, where its agent refuses every start. */
+static void
+nothing_fits_where_capacity_is_exceeded (void)
+{
+  struct hk_job_place_view v = { .usable = TRUE,
+                                 .cpu_milli = 4000,
+                                 .cpu_free_milli = -1000,
+                                 .memory_free_mb = 4000,
+                                 .best_effort_free_milli = 1000,
+                                 .expected_speed = 1,
+                                 .run_time_ratio = 1 };
+  struct hk_job_place_need need = {
+    .cpu_milli = 1000, .memory_mb = 100, .best_effort = TRUE, .starving = TRUE
+  };
+
+  g_assert_cmpint (hk_job_place_choose (&v, 1, &need), ==, -1);
+  need.starving = FALSE;
+  g_assert_cmpint (hk_job_place_choose (&v, 1, &need), ==, -1);
+  v.cpu_free_milli = 0;
+  g_assert_cmpint (hk_job_place_choose (&v, 1, &need), ==, 0);
+  v.accelerators_free = -1;
+  g_assert_cmpint (hk_job_place_choose (&v, 1, &need), ==, -1);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -301,5 +327,6 @@
   ADD (retried_starts_respect_a_shrunk_capacity);
   ADD (restarted_endpoints_may_be_smaller);
   ADD (restarted_endpoints_may_have_other_labels);
+  ADD (nothing_fits_where_capacity_is_exceeded);
   return g_test_run ();
 }
