Start nothing beside runs of unknown size

Cause: an agent that restarts finds runs at its endpoint whose size only an order tells; until then they counted as none. A run that no job wants is only stopped, so its size is never told, and neither the agent nor the coordinator counted it: a start took the endpoint over its capacity while it was being stopped. Result: the test counted one start beyond the capacity before, and none now; coord, lead, sharing, engine, platform and runner pass.

--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -99,6 +99,9 @@
   struct hk_timer park_timer;
   GArray *ends;    /* of coord_end, from the last report */
   GArray *orphans; /* of hk_run_id, reported but not placed there */
+  /* Runs of the last report whose size its agent does not know; it starts
+     nothing meanwhile. */
+  unsigned n_unknown_runs;
   /* The runs had nothing to order and no end to acknowledge at this value of
      the instance's @changes. */
   uint64_t settled_changes;
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -258,8 +258,12 @@
   g_array_set_size (l->orphans, 0);
   for (u_int i = 0; i < args->ends.ends_len; i++)
     end_report_apply (l, before, &args->ends.ends_val[i], now);
+  l->n_unknown_runs = 0;
   for (u_int i = 0; i < args->runs.runs_len; i++)
-    run_report_apply (l, &args->runs.runs_val[i], now);
+    {
+      l->n_unknown_runs += !args->runs.runs_val[i].known;
+      run_report_apply (l, &args->runs.runs_val[i], now);
+    }
 }
 
 /* A run that neither the agent nor its endpoint knows any more is lost. Its
--- a/src/runner/runner_run.c
+++ b/src/runner/runner_run.c
@@ -200,6 +200,18 @@
 
 /* Starts */
 
+/* A restarted agent learns from orders what the runs are that it found. */
+static gboolean
+sizes_known (const struct hk_runner *r)
+{
+  const struct runner_run *run;
+
+  TAILQ_FOREACH (run, &r->runs, link)
+  if (run->state != RUN_ENDED && !run->spec_known)
+    return FALSE;
+  return TRUE;
+}
+
 /* Sums up this agent's own runs, including the one about to start. A
    best-effort task books no CPUs. */
 static gboolean
@@ -222,6 +234,22 @@
          && accelerators <= r->accelerators;
 }
 
+/* Returns the reason why nothing may start now, or NULL if a start is
+   allowed. */
+static const char *
+start_obstacle (const struct hk_runner *r, int64_t now)
+{
+  if (r->draining || r->leaving)
+    return "agent is draining";
+  if (!runner_grant_valid (r, now))
+    return "no valid lease grant";
+  if (!sizes_known (r))
+    return "size of a run is unknown";
+  if (!capacity_suffices (r))
+    return "insufficient capacity";
+  return NULL;
+}
+
 static void
 on_start_timer (void *user)
 {
@@ -283,6 +311,7 @@
 {
   struct hk_runner *r = run->r;
   int64_t now = hk_clock_ms ();
+  const char *obstacle = start_obstacle (r, now);
   struct hk_runtime_start order = { .task = run->task,
                                     .run = run->number,
                                     .fence = r->term,
@@ -290,13 +319,9 @@
                                     .payload = run->payload,
                                     .payload_len = run->payload_len };
 
-  if (!runner_grant_valid (r, now) || r->draining || r->leaving
-      || !capacity_suffices (r))
+  if (obstacle)
     {
-      handle_refusal (run, r->draining || r->leaving ? "agent is draining"
-                           : !runner_grant_valid (r, now)
-                               ? "no valid lease grant"
-                               : "insufficient capacity");
+      handle_refusal (run, obstacle);
       return;
     }
   order.deadline_ms = runner_endpoint_clock_ms (r, now) + START_DEADLINE_MS;
--- a/tests/runner/test_capacity.c
+++ b/tests/runner/test_capacity.c
@@ -14,6 +14,7 @@
 #include "hyssopkeel/runner.h"
 
 #define JOB "1111111111111111"
+#define ORPHAN_JOB "9999999999999999"
 /* Each task takes one CPU. */
 #define TASK_CPU_MILLI 1000
 #define FOREVER_MS 100000
@@ -251,6 +252,43 @@
   fixture_finish (&f);
 }
 
+static void
+ignore_reply (int rc, const struct hk_runtime_list *list, int64_t clock_ms,
+              const struct hk_error *err, void *user)
+{
+  (void)rc;
+  (void)list;
+  (void)clock_ms;
+  (void)err;
+  (void)user;
+}
+
+/* Guards against a start beside a run of unknown size, which counted as none:
+   a new agent found a run that no job wants any more. */
+static void
+nothing_starts_beside_runs_of_unknown_size (void)
+{
+  struct fixture f;
+  struct hk_runtime_start order = { .task = { .job = (char *)ORPHAN_JOB },
+                                    .run = 1,
+                                    .deadline_ms = hk_clock_ms () + 3000,
+                                    .checkpoint = "",
+                                    .payload = "" };
+
+  fixture_init (&f);
+  f.rt.stop_ms = 500;
+  f.rt.base.ops->start (&f.rt.base, &order, ignore_reply, NULL);
+  wait_running (&f, 1);
+  set_capacity (&f, 1);
+  f.rt.work_ms = 50;
+  submit (&f, 1);
+  wait_job_done (&f);
+  g_assert_cmpint (f.rt.n_started, ==, 2);
+  g_assert_cmpint (f.rt.n_excess_starts, ==, 0);
+  g_assert_cmpint (f.rt.n_start_calls, ==, 2);
+  fixture_finish (&f);
+}
+
 /* A new incarnation may be smaller. Until it says so, the size of the one
    before does not count. */
 static void
@@ -325,6 +363,7 @@
   ADD (growth_is_used_at_once);
   ADD (nothing_starts_beyond_a_shrunk_capacity);
   ADD (retried_starts_respect_a_shrunk_capacity);
+  ADD (nothing_starts_beside_runs_of_unknown_size);
   ADD (restarted_endpoints_may_be_smaller);
   ADD (restarted_endpoints_may_have_other_labels);
   ADD (nothing_fits_where_capacity_is_exceeded);
