Place nothing on an agent that does not know its capacity

Cause: an agent that restarts has no capacity until the next heartbeat of its endpoint, and refuses every start. The coordinator kept the capacity it knew and placed the same tasks there again at once: a run number, a refusal and a commit each time. Change: the agent's report says whether it knows the capacity of its endpoint, and the coordinator places nothing there while it does not. The agent checks the same, so that the size of an earlier incarnation does not count either. What runs goes on.

--- a/src/coord/coord_candidates.c
+++ b/src/coord/coord_candidates.c
@@ -76,7 +76,7 @@
   const struct coord_link *l = in->link;
 
   return in->capacity_known && !in->draining && !in->leaving && l
-         && l->n_unknown_runs == 0
+         && l->described && l->n_unknown_runs == 0
          && now - in->last_report_ms < REPORT_AGE_MAX_MS
          && strcmp (in->pool, step->job->spec.pool) == 0
          && has_label (in, step->spec->label);
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -258,6 +258,7 @@
   g_array_set_size (l->orphans, 0);
   for (u_int i = 0; i < args->ends.ends_len; i++)
     end_report_apply (l, before, &args->ends.ends_val[i], now);
+  l->described = args->described;
   l->n_unknown_runs = 0;
   for (u_int i = 0; i < args->runs.runs_len; i++)
     {
--- a/src/runner/runner_run.c
+++ b/src/runner/runner_run.c
@@ -243,6 +243,8 @@
     return "agent is draining";
   if (!runner_grant_valid (r, now))
     return "no valid lease grant";
+  if (!r->described)
+    return "capacity of the endpoint is unknown";
   if (!sizes_known (r))
     return "size of a run is unknown";
   if (!capacity_suffices (r))
--- a/tests/runner/test_capacity.c
+++ b/tests/runner/test_capacity.c
@@ -11,6 +11,7 @@
 #include "hyssopkeel/coord.h"
 #include "hyssopkeel/job_placement.h"
 #include "hyssopkeel/log.h"
+#include "hyssopkeel/metrics.h"
 #include "hyssopkeel/runner.h"
 
 #define JOB "1111111111111111"
@@ -187,6 +188,12 @@
     }
 }
 
+static double
+count_commits (void)
+{
+  return hk_metric_get ("hyssopkeel_commits_total", "")->value;
+}
+
 /* Room that appears at an endpoint is used before the next tick of the
    coordinator and before its delayed reply. */
 static void
@@ -252,6 +259,35 @@
   fixture_finish (&f);
 }
 
+/* Guards against the same loop after the agent restarted, until its endpoint
+   reports its capacity. The runs go on meanwhile. */
+static void
+agents_without_a_capacity_get_nothing (void)
+{
+  struct fixture f;
+  double before;
+
+  fixture_init (&f);
+  set_capacity (&f, 2);
+  submit (&f, 4);
+  wait_running (&f, 2);
+  test_run_for (400);
+  hk_runner_free (f.runner);
+  runner_start (&f);
+  f.rt.work_ms = 50;
+  test_run_for (200);
+  memory_runtime_end_all (&f.rt);
+  before = count_commits ();
+  test_run_for (800);
+  g_assert_cmpfloat (count_commits () - before, <=, 8);
+  g_assert_cmpint (f.rt.n_started, ==, 2);
+  set_capacity (&f, 2);
+  wait_job_done (&f);
+  g_assert_cmpint (f.rt.n_started, ==, 4);
+  g_assert_cmpint (f.rt.n_excess_starts, ==, 0);
+  fixture_finish (&f);
+}
+
 static void
 ignore_reply (int rc, const struct hk_runtime_list *list, int64_t clock_ms,
               const struct hk_error *err, void *user)
@@ -363,6 +399,7 @@
   ADD (growth_is_used_at_once);
   ADD (nothing_starts_beyond_a_shrunk_capacity);
   ADD (retried_starts_respect_a_shrunk_capacity);
+  ADD (agents_without_a_capacity_get_nothing);
   ADD (nothing_starts_beside_runs_of_unknown_size);
   ADD (restarted_endpoints_may_be_smaller);
   ADD (restarted_endpoints_may_have_other_labels);
