Pause placement on an instance that refuses a start

Cause: the coordinator does not know why a start was refused, and placed the task on the same instance again at once. Where an endpoint has less room than its last heartbeat said, which may be 1.5 s old, this went on until the next one: starts that are refused, run numbers and commits. Change: after a refused start an instance gets nothing new for 100 ms, doubled up to 800 ms while refusals go on. An end of a run there or another capacity ends the pause; event=placement_paused shows it.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -240,6 +240,8 @@
  * @run_time_ratio: moving average of measured over expected run time; 1 is
  *                  normal.
  * @suspect_until_ms: time at which @failure_rate and @run_time_ratio expire.
+ * @refusals: starts refused in a row, those within a pause counted once.
+ * @refused_until_ms: no new runs before this time, as a start was refused.
  * @runs: runs placed here whose end has not been seen.
  * @changes: rises with each change of @runs and each report.
  * @link: connection state, owned by the coordinator.
@@ -273,6 +275,8 @@
   double failure_rate;
   double run_time_ratio;
   int64_t suspect_until_ms;
+  unsigned refusals;
+  int64_t refused_until_ms;
   LIST_HEAD (, hk_run) runs;
   uint64_t changes;
   void *link;
--- a/src/coord/coord_candidates.c
+++ b/src/coord/coord_candidates.c
@@ -77,6 +77,7 @@
 
   return in->capacity_known && !in->draining && !in->leaving && l
          && l->described && l->n_unknown_runs == 0
+         && in->refused_until_ms <= now
          && now - in->last_report_ms < REPORT_AGE_MAX_MS
          && strcmp (in->pool, step->job->spec.pool) == 0
          && has_label (in, step->spec->label);
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -6,6 +6,11 @@
    repeated. */
 #define RUN_MISSING_MS 2000
 
+/* Pause after a refused start, doubled each time up to the maximum. The cause
+   may last until the next heartbeat of the endpoint. */
+#define REFUSAL_PAUSE_MIN_MS 100
+#define REFUSAL_PAUSE_MAX_MS 800
+
 static void
 end_clear (gpointer data)
 {
@@ -128,11 +133,15 @@
   if (!args->described)
     return changed;
   if (capacity_changed (in, args))
-    hk_log (HK_LOG_INFO, "sync", in->name, NULL,
-            "event=instance_described pool=%s cpu=%u memory_mb=%u "
-            "accelerators=%u born=%" G_GINT64_FORMAT,
-            args->pool, args->cpu_milli, args->memory_mb, args->accelerators,
-            in->start_time_ms);
+    {
+      in->refusals = 0;
+      in->refused_until_ms = 0;
+      hk_log (HK_LOG_INFO, "sync", in->name, NULL,
+              "event=instance_described pool=%s cpu=%u memory_mb=%u "
+              "accelerators=%u born=%" G_GINT64_FORMAT,
+              args->pool, args->cpu_milli, args->memory_mb, args->accelerators,
+              in->start_time_ms);
+    }
   in->capacity_known = TRUE;
   in->domain = text_update (in->domain, args->domain);
   in->pool = text_update (in->pool, args->pool);
@@ -169,6 +178,7 @@
   if (!run->started_ms && r->started)
     {
       run->started_ms = now;
+      l->in->refusals = 0;
       task->step->job->started = TRUE;
     }
   if (!run->ordered_ms)
@@ -217,6 +227,25 @@
   return 0;
 }
 
+/* Handles instances that cannot start what is placed there, for a cause that
+   the coordinator does not know. */
+static void
+refusal_observe (struct hk_instance *in, int64_t now)
+{
+  if (now < in->refused_until_ms)
+    return;
+  in->refused_until_ms = now
+                         + MIN (REFUSAL_PAUSE_MIN_MS << MIN (in->refusals, 10),
+                                REFUSAL_PAUSE_MAX_MS);
+  in->refusals++;
+  hk_log (HK_LOG_INFO, "sync", in->name, NULL,
+          "event=placement_paused refusals=%u pause_ms=%" G_GINT64_FORMAT
+          " free_cpu=%" G_GINT64_FORMAT " free_memory_mb=%" G_GINT64_FORMAT,
+          in->refusals, in->refused_until_ms - now,
+          (int64_t)in->cpu_milli - in->used_cpu_milli,
+          (int64_t)in->memory_mb - in->used_memory_mb);
+}
+
 static void
 end_report_apply (struct coord_link *l, const GArray *before,
                   const hk_run_end *e, int64_t now)
@@ -235,6 +264,10 @@
               run->started_ms ? now - run->started_ms : 0, run->to_stop,
               task->failures);
       coord_estimate_learn (l->c, run, e->how, now);
+      if (e->how != HK_END_REFUSED)
+        l->in->refused_until_ms = 0;
+      else if (!run->to_stop)
+        refusal_observe (l->in, now);
       hk_engine_run_end (run, e->how, e->checkpoint, now, coord_wall_ms ());
       end.version = task->step->job->version;
     }
--- a/tests/runner/test_capacity.c
+++ b/tests/runner/test_capacity.c
@@ -259,6 +259,29 @@
   fixture_finish (&f);
 }
 
+/* Guards against a loop of start, refusal and placement on the same endpoint,
+   with a commit each, while the endpoint has less room than it reported. */
+static void
+refused_starts_are_not_repeated_in_a_loop (void)
+{
+  struct fixture f;
+
+  fixture_init (&f);
+  f.rt.capacity = 1;
+  f.rt.rejects_excess = TRUE;
+  report_capacity (&f, 4);
+  submit (&f, 2);
+  wait_running (&f, 1);
+  test_run_for (1500);
+  /* Attempts at 0, 100, 300 and 700 ms. */
+  g_assert_cmpint (f.rt.n_start_calls, <=, 1 + 5);
+  g_assert_cmpint (f.rt.n_started, ==, 1);
+  /* A report of more room ends the pause. */
+  set_capacity (&f, 2);
+  wait_running (&f, 2);
+  fixture_finish (&f);
+}
+
 /* Guards against the same loop after the agent restarted, until its endpoint
    reports its capacity. The runs go on meanwhile. */
 static void
@@ -428,6 +451,7 @@
   ADD (growth_is_used_at_once);
   ADD (nothing_starts_beyond_a_shrunk_capacity);
   ADD (retried_starts_respect_a_shrunk_capacity);
+  ADD (refused_starts_are_not_repeated_in_a_loop);
   ADD (agents_without_a_capacity_get_nothing);
   ADD (nothing_starts_beside_runs_of_unknown_size);
   ADD (starts_of_a_former_agent_run_once);
