Check the numbers of a capacity in a heartbeat

Cause: a number over 32 bits was cut off, an accelerator count that is no number counted as 0, and a heartbeat whose capacity omits members that are 0 was rejected, so that the agent kept the larger capacity of the one before. Change: a missing member is 0; any other that is no amount has the heartbeat rejected.

--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -430,6 +430,9 @@
   "{\"service\":\"" service "\",\"state\":\"" state                           \
   "\",\"sequence\":3,\"capacity\":{\"cpu\":1,\"memMb\":1},\"born\":5" more    \
   "}"
+#define HEARTBEAT_CAPACITY(capacity, sequence)                                \
+  "{\"service\":\"pool\",\"state\":\"ready\",\"sequence\":" sequence          \
+  ",\"capacity\":" capacity ",\"born\":5}"
 
 static void
 invalid_heartbeats_are_rejected (void)
@@ -442,7 +445,12 @@
           HEARTBEAT ("other", "ready", ""),
           HEARTBEAT ("pool", "sleeping", ""),
           "{\"service\":\"pool\",\"state\":\"ready\",\"sequence\":\"3\"}",
-          "{\"service\":7,\"state\":\"ready\",\"sequence\":3}" };
+          "{\"service\":7,\"state\":\"ready\",\"sequence\":3}",
+          HEARTBEAT_CAPACITY ("7", "3"),
+          HEARTBEAT_CAPACITY ("{\"cpu\":-1,\"memMb\":1}", "3"),
+          HEARTBEAT_CAPACITY ("{\"cpu\":\"4\",\"memMb\":1}", "3"),
+          HEARTBEAT_CAPACITY ("{\"cpu\":1,\"memMb\":4294967297}", "3"),
+          HEARTBEAT_CAPACITY ("{\"cpu\":1,\"memMb\":1,\"gpu\":-1}", "3") };
   struct memory_store store;
   struct memory_runtime rt;
   struct hk_runner_options options
@@ -472,6 +480,12 @@
                              HEARTBEAT ("pool", "ready", ",\"clockMs\":9")),
                     ==, 200);
   g_assert_cmpint (hs.worker_start_ms, ==, 5);
+  /* A capacity that shrank to nothing is a valid one. */
+  g_assert_cmpuint (request (&w, "POST", address,
+                             "/api/Instances.Heartbeat/i-1", NULL,
+                             HEARTBEAT_CAPACITY ("{}", "4")),
+                    ==, 200);
+  g_assert_cmpint (hs.last_sequence, ==, 4);
   g_assert_cmpstr (worker.instance, ==, "i-1");
   g_assert_cmpuint (request (&w, "GET", metrics, "/metrics", NULL, NULL), ==,
                     200);
