Follow a worker's capacity while it runs

Cause: an agent took the capacity of its worker from the attachment only; every renewal lists it too. After it shrank, the agent went on to fill the old one; after it grew, the new part stayed unused until the worker or agent restarted. Change: each listing is compared; a change is logged, applied, announced to the entries, and starts queued requests. The worker stand-in can change its slots and memory.

--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -275,6 +275,14 @@
  */
 void hk_agent_link_reset (struct hk_agent_link *l);
 
+/**
+ * hk_agent_link_total_update() - apply a changed capacity of the worker.
+ * @l: link.
+ * @listing: reply of the worker.
+ */
+void hk_agent_link_total_update (struct hk_agent_link *l,
+                                 json_object *listing);
+
 /**
  * hk_agent_link_requests_update() - book the requests of predecessor agents.
  * @l: link.
--- a/src/agent/jobs.c
+++ b/src/agent/jobs.c
@@ -102,6 +102,7 @@
       return;
     }
   json_object_object_get_ex (reply, "tasks", &list);
+  hk_agent_link_total_update (&j->agent->link, reply);
   hk_agent_link_requests_update (&j->agent->link, reply);
   remove_orphans (j, list);
   update_listed_jobs (j, list);
--- a/src/agent/worker_link.c
+++ b/src/agent/worker_link.c
@@ -62,6 +62,34 @@
     hk_agent_notify (&l->agent->requests.task, HK_MSG_CAPACITY_FREED);
 }
 
+void
+hk_agent_link_total_update (struct hk_agent_link *l, json_object *listing)
+{
+  struct hk_capacity *capacity = &l->agent->capacity;
+  const struct hk_size *old = &capacity->ledger.total;
+  struct hk_size total = size_from_json (listing);
+
+  if (!json_object_object_get_ex (listing, "slots", NULL))
+    return;
+  total.slots = hk_json_int (listing, "slots");
+  if (total.slots == old->slots && total.cpu_milli == old->cpu_milli
+      && total.memory_mb == old->memory_mb
+      && total.accelerators == old->accelerators)
+    return;
+  hk_log (HK_LOG_INFO, "link", l->agent->settings->worker, NULL,
+          "capacity of the worker is now slots=%" PRId64 " cpu_milli=%" PRId64
+          " memory_mb=%" PRId64 " accelerators=%" PRId64
+          "; before slots=%" PRId64 " cpu_milli=%" PRId64 " memory_mb=%" PRId64
+          " accelerators=%" PRId64,
+          total.slots, total.cpu_milli, total.memory_mb, total.accelerators,
+          old->slots, old->cpu_milli, old->memory_mb, old->accelerators);
+  hk_capacity_set_total (capacity, &total);
+  hk_capacity_set_tables (capacity, &l->agent->tables,
+                          l->agent->settings->pool);
+  hk_agent_notify (&l->agent->requests.task, HK_MSG_CAPACITY_FREED);
+  hk_agent_notify (&l->agent->announcer.task, HK_MSG_ANNOUNCE);
+}
+
 static void
 finish_attach (struct hk_agent_link *l, json_object *reply)
 {
--- a/tools/worker_standin.c
+++ b/tools/worker_standin.c
@@ -710,6 +710,8 @@
   (void)path;
   (void)user;
   worker.fail_all = query_int (query, "fail_all", worker.fail_all) != 0;
+  worker.slots = (int)query_int (query, "slots", worker.slots);
+  worker.memory_mb = (int)query_int (query, "memory_mb", worker.memory_mb);
   standin_reply (msg, SOUP_STATUS_OK, json_object_new_object ());
 }
 
