Let an exceeded instance take no CPUs from the others

Cause: the CPUs that best-effort tasks can use were summed over all instances with those below zero, as where an endpoint shrank beneath what runs there. The sum became too small, or nothing, and jobs that the other instances could do were put off or refused as late. Change: such an instance counts as none.

--- a/src/coord/coord_estimate.c
+++ b/src/coord/coord_estimate.c
@@ -258,8 +258,9 @@
     if (!in->capacity_known || in->draining)
       continue;
     s = coord_sharing_of (c, in);
-    available_milli += (double)coord_best_effort_free_milli (in)
-                       + in->best_effort_cpu_milli;
+    available_milli += MAX ((double)coord_best_effort_free_milli (in)
+                                + in->best_effort_cpu_milli,
+                            0);
     requested += s->requested_milli;
     effective += s->effective_milli;
   }
--- a/tests/coord/test_sharing.c
+++ b/tests/coord/test_sharing.c
@@ -18,9 +18,9 @@
 }
 
 static struct hk_instance *
-instance_new (struct hk_coord *c)
+instance_new_named (struct hk_coord *c, const char *name)
 {
-  struct hk_instance *in = hk_engine_instance_get (&c->engine, "a1");
+  struct hk_instance *in = hk_engine_instance_get (&c->engine, name);
   struct coord_link *l = g_new0 (struct coord_link, 1);
 
   l->c = c;
@@ -32,6 +32,12 @@
   return in;
 }
 
+static struct hk_instance *
+instance_new (struct hk_coord *c)
+{
+  return instance_new_named (c, "a1");
+}
+
 static void
 instance_release (struct hk_instance *in)
 {
@@ -138,6 +144,26 @@
   hk_coord_free (c);
 }
 
+/* An instance that shrank beneath what runs there has no CPUs to give, and
+   takes none from the others. */
+static void
+exceeded_instances_leave_the_others_their_cpus (void)
+{
+  struct hk_coord *c = coord_new ();
+  struct hk_instance *in = instance_new (c);
+  double before = coord_best_effort_cores (c);
+  struct hk_instance *shrunk = instance_new_named (c, "a2");
+
+  shrunk->cpu_milli = 4000;
+  shrunk->used_cpu_milli = 68000;
+  g_assert_cmpfloat (before, >, 0);
+  g_assert_cmpfloat (coord_best_effort_cores (c), ==, before);
+  shrunk->used_cpu_milli = 0;
+  instance_release (shrunk);
+  instance_release (in);
+  hk_coord_free (c);
+}
+
 /* A service queue that stays saturated, as on an instance that turned slow:
    light tasks were started there again and again, and stood still. */
 static void
@@ -176,6 +202,8 @@
                    changes_of_runs_are_seen);
   g_test_add_func ("/sharing/jobs_that_fit_an_idle_site_are_admitted",
                    jobs_that_fit_an_idle_site_are_admitted);
+  g_test_add_func ("/sharing/exceeded_instances_leave_the_others_their_cpus",
+                   exceeded_instances_leave_the_others_their_cpus);
   g_test_add_func (
       "/sharing/nothing_is_expected_to_run_beside_a_saturated_queue",
       nothing_is_expected_to_run_beside_a_saturated_queue);
