--- a/tests/coord/test_sharing.c
+++ b/tests/coord/test_sharing.c
@@ -144,6 +144,68 @@
   hk_coord_free (c);
 }
 
+/* Two service runs, one of them on @in beside a best-effort run. */
+static struct hk_engine_job *
+submit_services (struct hk_coord *c, struct hk_instance *in,
+                 struct hk_instance *other)
+{
+  hk_step_spec steps[]
+      = { { .count = 2, .target_ms = 18, .flags = HK_STEP_SERVICE },
+          { .count = 1, .flags = HK_STEP_BEST_EFFORT } };
+  hk_job_spec spec = { .id = (char *)"1111111111111111",
+                       .queue = (char *)"batch",
+                       .pool = (char *)"pool",
+                       .steps = { 2, steps } };
+  struct hk_engine_job *job;
+  struct hk_run *runs[3];
+
+  for (int i = 0; i < 2; i++)
+    {
+      steps[i].cpu_milli = 1000;
+      steps[i].label = steps[i].rack = (char *)"";
+    }
+  steps[0].image = (char *)"service";
+  steps[1].image = (char *)"best-effort";
+  job = hk_engine_submit (&c->engine, &spec, 1, 1);
+  runs[0] = hk_engine_task_place (&job->steps[0].tasks[0], in, 1);
+  runs[1] = hk_engine_task_place (&job->steps[0].tasks[1], other, 1);
+  runs[2] = hk_engine_task_place (&job->steps[1].tasks[0], in, 1);
+  for (int i = 0; i < 3; i++)
+    runs[i]->started_ms = 1;
+  runs[0]->load_sample = 12;
+  runs[1]->load_sample = 6;
+  runs[2]->load_sample = 900;
+  return job;
+}
+
+/* Guards against shares of an unknown number of CPUs: from a report of an
+   endpoint without capacity the coordinator learned that nothing interferes,
+   which then held on all instances. */
+static void
+nothing_is_learned_without_a_capacity (void)
+{
+  struct hk_coord *c = coord_new ();
+  struct hk_instance *in = instance_new (c);
+  struct hk_instance *other = instance_new_named (c, "a2");
+  struct hk_engine_job *job = submit_services (c, in, other);
+  const struct hk_interference_model *model = &c->interference_model;
+  double prior = hk_interference_model_get (model, "service", "best-effort");
+
+  coord_interference_learn (c, other, 1000);
+  in->cpu_milli = 0;
+  coord_interference_learn (c, in, 1000);
+  g_assert_cmpfloat (
+      hk_interference_model_get (model, "service", "best-effort"), ==, prior);
+  g_assert_cmpfloat (job->steps[0].tasks[0].runs[0]->headroom_loss, <, 5);
+  in->cpu_milli = 64000;
+  coord_interference_learn (c, in, 1100);
+  g_assert_cmpfloat (
+      hk_interference_model_get (model, "service", "best-effort"), !=, prior);
+  instance_release (other);
+  instance_release (in);
+  hk_coord_free (c);
+}
+
 /* An instance that shrank beneath what runs there has no CPUs to give, and
    takes none from the others. */
 static void
@@ -202,6 +264,8 @@
                    changes_of_runs_are_seen);
   g_test_add_func ("/sharing/jobs_that_fit_an_idle_site_are_admitted",
                    jobs_that_fit_an_idle_site_are_admitted);
+  g_test_add_func ("/sharing/nothing_is_learned_without_a_capacity",
+                   nothing_is_learned_without_a_capacity);
   g_test_add_func ("/sharing/exceeded_instances_leave_the_others_their_cpus",
                    exceeded_instances_leave_the_others_their_cpus);
   g_test_add_func (
