Let the agents of the pass benchmark know their capacity

Cause: since an agent's report says whether it knows the capacity of its endpoint. The benchmark makes its links without reports, so that nothing was placed and pass-cost compared passes without placements; it failed. Change: the benchmark sets it. The check itself is as it was.

--- a/bench/passes.c
+++ b/bench/passes.c
@@ -108,6 +108,7 @@
       l->ends = g_array_new (FALSE, TRUE, sizeof (struct coord_end));
       l->orphans = g_array_new (FALSE, TRUE, sizeof (hk_run_id));
       coord_sharing_init (&l->sharing);
+      l->described = TRUE;
       in->link = l;
       in->pool = g_strdup ("pool");
       in->cpu_milli = 64000;
