Let a run that is only to be stopped hold no start up

Cause: since an agent starts nothing while it does not know the size of some run. A stop order for a run that it never had makes an entry without a size, until the endpoint has confirmed the stop. While an endpoint answered slowly, starts without a reply were refused for that instead of being retried. Change: a run counts as unknown only if the endpoint has listed it, and is reported so.

--- a/src/runner/runner.h
+++ b/src/runner/runner.h
@@ -141,6 +141,7 @@
 void runner_run_set_ended (struct runner_run *run, hk_end_how how,
                            uint64_t seq, const char *checkpoint);
 void runner_run_remove (struct runner_run *run);
+gboolean runner_run_known (const struct runner_run *run);
 void runner_run_free (struct runner_run *run);
 struct runner_run *runner_run_add (struct hk_runner *r, const hk_task_id *task,
                                    unsigned number);
--- a/src/runner/runner_run.c
+++ b/src/runner/runner_run.c
@@ -203,14 +203,22 @@
 
 /* Starts */
 
-/* A restarted agent learns from orders what the runs are that it found. */
+/* A restarted agent learns from orders what the runs are that it found. A run
+   that the endpoint has never listed, as one that is only to be stopped, takes
+   nothing there. */
+gboolean
+runner_run_known (const struct runner_run *run)
+{
+  return run->spec_known || run->last_list == 0;
+}
+
 static gboolean
 sizes_known (const struct hk_runner *r)
 {
   const struct runner_run *run;
 
   TAILQ_FOREACH (run, &r->runs, link)
-  if (run->state != RUN_ENDED && !run->spec_known)
+  if (run->state != RUN_ENDED && !runner_run_known (run))
     return FALSE;
   return TRUE;
 }
--- a/src/runner/runner_sync.c
+++ b/src/runner/runner_sync.c
@@ -112,7 +112,7 @@
   out->task = run->task;
   out->run = run->number;
   out->started = run->state == RUN_RUNNING;
-  out->known = run->spec_known;
+  out->known = runner_run_known (run);
   out->percent = run->percent;
   out->figure = run->load_sample;
   out->pace = run->speed_percent;
