--- a/src/coord/coord_candidates.c
+++ b/src/coord/coord_candidates.c
@@ -73,7 +73,11 @@
 accepts_runs (const struct hk_instance *in, const struct hk_engine_step *step,
               int64_t now)
 {
-  return in->capacity_known && !in->draining && !in->leaving && in->link
+  const struct coord_link *l = in->link;
+
+  return in->capacity_known && !in->draining && !in->leaving && l
+         && l->described && l->n_unknown_runs == 0
+         && in->refused_until_ms <= now
          && now - in->last_report_ms < REPORT_AGE_MAX_MS
          && strcmp (in->pool, step->job->spec.pool) == 0
          && has_label (in, step->spec->label);
@@ -119,7 +123,7 @@
   view_instance (c, v, in, task->step, now);
   free_milli = spec->flags & HK_STEP_BEST_EFFORT ? v->best_effort_free_milli
                                                  : v->cpu_free_milli;
-  return free_milli >= (int64_t)spec->cpu_milli
+  return v->cpu_free_milli >= 0 && free_milli >= (int64_t)spec->cpu_milli
          && v->memory_free_mb >= (int64_t)spec->memory_mb
          && v->accelerators_free >= (int64_t)spec->accelerators
          && (spec->per_instance_max == 0
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -6,6 +6,11 @@
    repeated. */
 #define RUN_MISSING_MS 2000
 
+/* Pause after a refused start, doubled each time up to the maximum. The cause
+   may last until the next heartbeat of the endpoint. */
+#define REFUSAL_PAUSE_MIN_MS 100
+#define REFUSAL_PAUSE_MAX_MS 800
+
 static void
 end_clear (gpointer data)
 {
@@ -81,13 +86,42 @@
   return g_strdup (text);
 }
 
+static gboolean
+capacity_changed (const struct hk_instance *in, const hk_sync_args *args)
+{
+  return args->described
+         && (!in->capacity_known || in->cpu_milli != args->cpu_milli
+             || in->memory_mb != args->memory_mb
+             || in->accelerators != args->accelerators);
+}
+
+/* A new incarnation may have other labels. */
+static void
+labels_update (struct hk_instance *in, const hk_sync_args *args)
+{
+  u_int n = args->labels.labels_len;
+  gboolean same = in->labels && g_strv_length (in->labels) == n;
+  GPtrArray *list;
+
+  for (u_int i = 0; same && i < n; i++)
+    same = strcmp (in->labels[i], args->labels.labels_val[i].text) == 0;
+  if (same)
+    return;
+  list = g_ptr_array_new ();
+  for (u_int i = 0; i < n; i++)
+    g_ptr_array_add (list, g_strdup (args->labels.labels_val[i].text));
+  g_ptr_array_add (list, NULL);
+  g_strfreev (in->labels);
+  in->labels = (char **)g_ptr_array_free (list, FALSE);
+}
+
 /* Returns whether it may accept other runs than before. */
 static gboolean
 instance_update (struct hk_instance *in, const hk_sync_args *args, int64_t now)
 {
   gboolean changed = in->draining != (gboolean)args->draining
                      || in->leaving != (gboolean)args->leaving
-                     || !in->capacity_known;
+                     || capacity_changed (in, args);
 
   if (in->draining != (gboolean)args->draining)
     hk_log (HK_LOG_INFO, "sync", in->name, NULL,
@@ -98,27 +132,23 @@
   in->drain_until_ms = now + args->drain_left_ms;
   if (!args->described)
     return changed;
-  if (!in->capacity_known)
-    hk_log (HK_LOG_INFO, "sync", in->name, NULL,
-            "event=instance_described pool=%s cpu=%u memory_mb=%u "
-            "born=%" G_GINT64_FORMAT,
-            args->pool, args->cpu_milli, args->memory_mb, in->start_time_ms);
+  if (capacity_changed (in, args))
+    {
+      in->refusals = 0;
+      in->refused_until_ms = 0;
+      hk_log (HK_LOG_INFO, "sync", in->name, NULL,
+              "event=instance_described pool=%s cpu=%u memory_mb=%u "
+              "accelerators=%u born=%" G_GINT64_FORMAT,
+              args->pool, args->cpu_milli, args->memory_mb, args->accelerators,
+              in->start_time_ms);
+    }
   in->capacity_known = TRUE;
   in->domain = text_update (in->domain, args->domain);
   in->pool = text_update (in->pool, args->pool);
   in->cpu_milli = args->cpu_milli;
   in->memory_mb = args->memory_mb;
   in->accelerators = args->accelerators;
-  if (!in->labels || g_strv_length (in->labels) != args->labels.labels_len)
-    {
-      GPtrArray *list = g_ptr_array_new ();
-
-      for (u_int i = 0; i < args->labels.labels_len; i++)
-        g_ptr_array_add (list, g_strdup (args->labels.labels_val[i].text));
-      g_ptr_array_add (list, NULL);
-      g_strfreev (in->labels);
-      in->labels = (char **)g_ptr_array_free (list, FALSE);
-    }
+  labels_update (in, args);
   return changed;
 }
 
@@ -149,6 +179,7 @@
   if (!run->started_ms && r->started)
     {
       run->started_ms = now;
+      l->in->refusals = 0;
       task->step->job->started = TRUE;
     }
   if (!run->ordered_ms)
@@ -197,6 +228,25 @@
   return 0;
 }
 
+/* Handles instances that cannot start what is placed there, for a cause that
+   the coordinator does not know. */
+static void
+refusal_observe (struct hk_instance *in, int64_t now)
+{
+  if (now < in->refused_until_ms)
+    return;
+  in->refused_until_ms = now
+                         + MIN (REFUSAL_PAUSE_MIN_MS << MIN (in->refusals, 10),
+                                REFUSAL_PAUSE_MAX_MS);
+  in->refusals++;
+  hk_log (HK_LOG_INFO, "sync", in->name, NULL,
+          "event=placement_paused refusals=%u pause_ms=%" G_GINT64_FORMAT
+          " free_cpu=%" G_GINT64_FORMAT " free_memory_mb=%" G_GINT64_FORMAT,
+          in->refusals, in->refused_until_ms - now,
+          (int64_t)in->cpu_milli - in->used_cpu_milli,
+          (int64_t)in->memory_mb - in->used_memory_mb);
+}
+
 static void
 end_report_apply (struct coord_link *l, const GArray *before,
                   const hk_run_end *e, int64_t now)
@@ -215,6 +265,10 @@
               run->started_ms ? now - run->started_ms : 0, run->to_stop,
               task->failures);
       coord_estimate_learn (l->c, run, e->how, now);
+      if (e->how != HK_END_REFUSED)
+        l->in->refused_until_ms = 0;
+      else if (!run->to_stop)
+        refusal_observe (l->in, now);
       hk_engine_run_end (run, e->how, e->checkpoint, now, coord_wall_ms ());
       end.version = task->step->job->version;
     }
@@ -246,8 +300,13 @@
   g_array_set_size (l->orphans, 0);
   for (u_int i = 0; i < args->ends.ends_len; i++)
     end_report_apply (l, before, &args->ends.ends_val[i], now);
+  l->described = args->described;
+  l->n_unknown_runs = 0;
   for (u_int i = 0; i < args->runs.runs_len; i++)
-    run_report_apply (l, &args->runs.runs_val[i], now);
+    {
+      l->n_unknown_runs += !args->runs.runs_val[i].known;
+      run_report_apply (l, &args->runs.runs_val[i], now);
+    }
 }
 
 /* A run that neither the agent nor its endpoint knows any more is lost. Its
