Report unknown, not not-run, when a repeat to the worker is refused

Callers saw `not-run` (503) for an idempotent GET that had run and had crashed its worker. libsoup repeats a GET on a new connection when a connection that was used before closes without an answer. The worker was down by then, and the refused connection of the repeat was taken for proof that the request had not run; a worker that was back already refused the repeat, with the same effect. The entry could then send the request on to further instances as one that had run nowhere.

A request that was repeated is never reported as not run any more: its outcome is unknown. The first send of a request alone can prove by a refused connection that it did not run.

--- a/src/agent/worker_http.c
+++ b/src/agent/worker_http.c
@@ -23,6 +23,7 @@
 {
   struct hk_worker_http *worker;
   SoupMessage *message;
+  gboolean sent_before;
   hk_worker_run_done done;
   void *user;
 };
@@ -133,6 +134,17 @@
                                     c->cancellable, on_control_reply, c);
 }
 
+/* libsoup repeats a request on a new connection if one that was used before
+   closes without a response. */
+static void
+on_restarted (SoupMessage *message, gpointer user)
+{
+  struct request_call *r = user;
+
+  (void)message;
+  r->sent_before = TRUE;
+}
+
 static void
 on_run_reply (GObject *source, GAsyncResult *res, gpointer user)
 {
@@ -153,6 +165,10 @@
   else if (refused)
     rc = hk_error_set (&err, HK_ERR_CONFLICT, "worker.run", r->worker->url,
                        "worker is attached to another agent");
+  if (r->sent_before && (rc == HK_ERR_UNAVAILABLE || rc == HK_ERR_CONFLICT))
+    rc = hk_error_set (&err, HK_ERR_IO, "worker.run", r->worker->url,
+                       "connection closed without an answer, and the worker "
+                       "refused a repeat");
   r->done (rc, status, type ? type : "", body, &err, r->user);
   g_object_unref (r->message);
   g_free (r);
@@ -180,6 +196,7 @@
   r->message = message_new (w, run->method, "/run/", run->path);
   r->done = done;
   r->user = user;
+  g_signal_connect (r->message, "restarted", G_CALLBACK (on_restarted), r);
   headers = soup_message_get_request_headers (r->message);
   soup_message_headers_append (headers, "Hyssopkeel-Request-Id",
                                run->request_id);
--- a/tests/scenario/commands.c
+++ b/tests/scenario/commands.c
@@ -518,11 +518,12 @@
   g_autofree char *body = g_strdup_printf (
       "{\"id\":\"%s\",\"route\":\"%s\",\"cpu_milli\":%d,\"memory_mb\":%d,"
       "\"payload\":\"{\\\"work_ms\\\":%d,\\\"noise\\\":%d,\\\"fail\\\":%s,"
-      "\\\"memory_mb\\\":%d,\\\"result\\\":\\\"ok\\\"}\"}",
+      "\\\"crash\\\":%s,\\\"memory_mb\\\":%d,\\\"result\\\":\\\"ok\\\"}\"}",
       w[1], scenario_option (w, "route", "tint"),
       scenario_number (w, "cpu", 1000), scenario_number (w, "memory", 1000),
       scenario_number (w, "work", 1000), scenario_number (w, "noise", 0),
-      scenario_option (w, "fail", "false"), scenario_number (w, "uses", 0));
+      scenario_option (w, "fail", "false"),
+      scenario_option (w, "crash", "false"), scenario_number (w, "uses", 0));
   g_autofree char *text = NULL;
   int64_t limit = hk_clock_ms () + WAIT_LIMIT_MS;
   guint status = 0;
--- a/tools/worker_standin.c
+++ b/tools/worker_standin.c
@@ -7,25 +7,33 @@
      overcommit MS
      task_start JOB EPOCH MS PROGRESS
      task_stop JOB EPOCH MS STATE PROGRESS
+     killed MS
+
+   A crash closes all connections and loses all state but the ground truth; the
+   worker is back under a new boot ID after CRASH_DOWN_MS.
 
    The query of a request sets its behaviour:
      work_ms          service time
      fail             reply with status 500
      size             bytes of the reply; by default it echoes the body
      cut              declare more bytes than are sent
+     crash            crash when the run has started
    The JSON payload of a task sets its behaviour:
      work_ms          run time without throttling
      fail             fail at the end of the run time
+     crash            crash when the task has started
      endless          run until stopped
      result           result of a task that is done
      memory_mb        actual memory use; by default the declared one
      noise            percentage by which it slows requests
      noise_period_ms  apply noise in every second period of this length */
 #include <inttypes.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/queue.h>
+#include <unistd.h>
 
 #include "hyssopkeel/clock.h"
 #include "hyssopkeel/id.h"
@@ -34,6 +42,8 @@
 
 #define TICK_MS 20
 #define THROTTLED_PERCENT 30
+#define CRASH_DOWN_MS 700
+#define CRASHED_ENV "HK_STANDIN_CRASHED"
 
 enum task_state
 {
@@ -64,6 +74,7 @@
   int64_t throttle_percent;
   gboolean runs_until_stopped;
   gboolean should_fail;
+  gboolean should_crash;
   enum task_state state;
   TAILQ_ENTRY (task) link;
 };
@@ -101,6 +112,7 @@
   int64_t actual_overcommits;
   int64_t runs_total;
   FILE *ground_truth;
+  char **argv;
   struct hk_timer tick_timer;
   int64_t last_tick_ms;
 } worker;
@@ -118,6 +130,16 @@
   fflush (worker.ground_truth);
 }
 
+/* Executes the program again, which closes all sockets. */
+static void
+crash (void)
+{
+  log_ground_truth ("killed %" PRId64 "\n", hk_clock_ms ());
+  g_setenv (CRASHED_ENV, "1", TRUE);
+  execv ("/proc/self/exe", worker.argv);
+  _exit (1);
+}
+
 /* Declared sizes count as overcommits of the scheduler. Overcommits by actual
    memory use are counted on their own, without a line in the ground truth. */
 static void
@@ -412,6 +434,8 @@
   t->actual_memory_mb = hk_json_int (obj, "memory_mb");
   if (obj && json_object_object_get_ex (obj, "fail", &value))
     t->should_fail = json_object_get_boolean (value);
+  if (obj && json_object_object_get_ex (obj, "crash", &value))
+    t->should_crash = json_object_get_boolean (value);
   if (obj && json_object_object_get_ex (obj, "endless", &value))
     t->runs_until_stopped = json_object_get_boolean (value);
   if (t->actual_memory_mb == 0)
@@ -459,6 +483,8 @@
   read_payload (t, hk_json_str (body, "payload"));
   TAILQ_INSERT_TAIL (&worker.tasks, t, link);
   start_task (t);
+  if (t->should_crash)
+    crash ();
   standin_reply (msg, SOUP_STATUS_OK, encode_task (t));
 }
 
@@ -650,6 +676,8 @@
   worker.runs_total++;
   log_ground_truth ("run_start %s %s %" PRId64 "\n", r->id,
                     r->key ? r->key : "-", r->started_ms);
+  if (query_int (query, "crash", 0))
+    crash ();
   count_overcommits ();
   g_signal_connect (msg, "disconnected", G_CALLBACK (on_run_disconnected), r);
   work_ms = work_ms * (100 + current_noise_percent ()) / 100;
@@ -725,6 +753,13 @@
   on_tick (NULL);
 }
 
+static void
+exit_at_once (int signal_number)
+{
+  (void)signal_number;
+  _exit (0);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -749,6 +784,13 @@
   g_autoptr (SoupServer) server = NULL;
   g_autoptr (GError) gerr = NULL;
 
+  worker.argv = g_strdupv (argv);
+  if (g_getenv (CRASHED_ENV))
+    {
+      signal (SIGTERM, exit_at_once);
+      g_usleep (CRASH_DOWN_MS * 1000);
+      signal (SIGTERM, SIG_DFL);
+    }
   worker.slots = 8;
   worker.cpu_milli = 64000;
   worker.memory_mb = 250000;
