Stop retrying a request after two attempts without an outcome

Operators saw one idempotent request crash worker after worker: an attempt that ended without a known outcome was retried on another instance, up to four in all. The limit counted attempts only, so a request that kills what runs it was treated like one that was refused.

Attempts without an outcome are counted, and the second one ends the request as unknown. A hedged attempt is not sent if it could become the third. Attempts that certainly did not run are retried as before.

No test covers the limit of hedged attempts.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -66,7 +66,7 @@
   struct hk_dispatch *d = a->d;
   g_autofree char *reason_copy = g_strdup (reason);
 
-  d->may_have_run = TRUE;
+  d->n_unknown++;
   hk_attempt_end (a);
   if (d->outstanding > 0)
     return;
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -4,6 +4,9 @@
 #include "dispatch.h"
 
 #define HK_ATTEMPTS_MAX 4
+/* Attempts without a known outcome, each of which may have crashed its
+   instance, that end a request. */
+#define HK_UNKNOWN_ATTEMPTS_MAX 2
 #define HK_TICKET_PREFIX "hk1:"
 
 struct hk_dispatch;
@@ -47,7 +50,7 @@
  * @tried: ids of the @n_tried instances that are not tried again.
  * @outstanding: attempts in progress.
  * @finished: whether the completion callback was called.
- * @may_have_run: whether an attempt ended without a known outcome.
+ * @n_unknown: attempts that ended without a known outcome.
  * @last_refusal: reason of the last attempt that did not run, or NULL.
  * @hedge_timer: delay before the hedged attempt.
  */
@@ -77,7 +80,7 @@
   size_t n_tried;
   int outstanding;
   gboolean finished;
-  gboolean may_have_run;
+  int n_unknown;
   char *last_refusal;
   struct hk_timer hedge_timer;
   hk_dispatch_done done;
--- a/src/entry/dispatch.c
+++ b/src/entry/dispatch.c
@@ -81,7 +81,7 @@
   struct hk_dispatch_result result = { .outcome = outcome };
 
   /* That the last attempt did not run says nothing about earlier ones. */
-  if (d->may_have_run)
+  if (d->n_unknown > 0)
     result.outcome = HK_OUTCOME_UNKNOWN;
   result.reason = reason;
   result.content_type = "";
@@ -116,6 +116,7 @@
   struct hk_route_stats *s = hk_entry_route_stats (d->entry, d->route);
 
   if (d->finished || d->n_tried >= HK_ATTEMPTS_MAX
+      || d->n_unknown >= HK_UNKNOWN_ATTEMPTS_MAX
       || hk_dispatch_remaining_ms (d) <= 0)
     return FALSE;
   if (charge_budget && !hk_retry_take (&s->budget))
@@ -150,6 +151,7 @@
   struct hk_member *member;
 
   if (d->finished || d->outstanding != 1 || d->n_tried >= HK_ATTEMPTS_MAX
+      || d->n_unknown + d->outstanding >= HK_UNKNOWN_ATTEMPTS_MAX
       || !hk_retry_take (&s->budget))
     return;
   member = hk_dispatch_choose_member (d);
