--- a/src/entry/offers.c
+++ b/src/entry/offers.c
@@ -174,17 +174,18 @@
 }
 
 static struct hk_member *
-choose_member (struct hk_sched *sched, const struct hk_job *job,
-               const struct hk_route *route, const GPtrArray *pool)
+choose_member_except (struct hk_sched *sched, const struct hk_job *job,
+                      const struct hk_route *route, const GPtrArray *pool,
+                      const guint *ids, size_t n)
 {
-  guint ids[EXCLUDED_MEMBERS_MAX];
-  struct hk_place_query q
-      = { .need = job_size (job), .now_ms = hk_clock_ms (), .tried = ids };
+  struct hk_place_query q = { .need = job_size (job),
+                              .now_ms = hk_clock_ms (),
+                              .tried = ids,
+                              .n_tried = n };
   const struct hk_candidate *const *view
       = (const struct hk_candidate *const *)pool->pdata;
   int i;
 
-  q.n_tried = failed_instances (pool, job, ids);
   i = hk_place (view, pool->len, &q, sched->entry->random);
   if (i < 0 && route->share > 0)
     {
@@ -196,6 +197,19 @@
   return i < 0 ? NULL : hk_member_from_candidate (view[i]);
 }
 
+/* A job that failed on every instance is tried again on any of them. */
+static struct hk_member *
+choose_member (struct hk_sched *sched, const struct hk_job *job,
+               const struct hk_route *route, const GPtrArray *pool)
+{
+  guint ids[EXCLUDED_MEMBERS_MAX];
+  size_t n = failed_instances (pool, job, ids);
+
+  if (n == pool->len)
+    n = 0;
+  return choose_member_except (sched, job, route, pool, ids, n);
+}
+
 static gboolean
 over_quota (struct hk_sched *sched, const struct hk_job *job,
             const struct hk_route *route)
@@ -240,7 +254,7 @@
     }
   m = pool ? choose_member (sched, &j->job, route, pool) : NULL;
   if (!m)
-    return FALSE;
+    return j->job.failed_on != NULL; /* others may still find an instance */
   hk_sched_job_offer (j, m);
   return TRUE;
 }
