Count crashes of the worker as failed runs of the job that had it alone

A job that crashes each worker that starts it was started 46 to 71 times in a minute: a run that ended with a crash of its worker was returned to the queue like an evicted one and cost no attempt (attempts=0 at epoch 71).

When an agent finds that its worker restarted, every job that may have run there becomes a suspect. A suspect runs on an instance without other jobs, so that a second crash shows whether it is the cause; a crash of a worker that had no other job counts as a failed run, and three failed runs end a job. Jobs that merely ran beside the culprit keep attempts=0. Both are kept in the record, so they outlive agents and entries.

Records of the previous build and of this one can be read by both: a suspect is marked by "crashed:INSTANCE" in failed_on, which an older build takes for the name of an instance that it does not know. An older agent counts the mark as one of the three instances that end a job when a run of it fails.

How soon a suspect finds an instance without other jobs is not bounded.

--- a/include/hyssopkeel/job.h
+++ b/include/hyssopkeel/job.h
@@ -33,9 +33,10 @@
  * @checkpoint: progress to resume from, may be NULL.
  * @result: result of a completed job, may be NULL.
  * @reason: why it is parked, failed or was last evicted, may be NULL.
- * @attempts: runs that failed.
+ * @attempts: runs that failed, or crashed a worker that ran no other job.
  * @evictions: runs that were evicted.
- * @failed_on: instances where it failed, may be NULL.
+ * @failed_on: instances where it failed, may be NULL. The entry
+ *             "crashed:INSTANCE" marks a suspect, see hk_job_is_suspect().
  * @cancel: cancellation was requested.
  * @submitted_ms: wall-clock time of submission, milliseconds since 1970.
  * @started_ms: wall-clock time of the first start, 0 if none; milliseconds
@@ -131,12 +132,31 @@
 void hk_job_requeue (struct hk_job *job);
 
 /**
- * hk_job_add_failure() - count a failed run and record its instance.
- * @job: record.
+ * hk_job_add_failure() - end a run that failed.
+ * @job: record; requeued, or failed for good after several such runs.
  * @instance: name of the instance.
  */
 void hk_job_add_failure (struct hk_job *job, const char *instance);
 
+/**
+ * hk_job_is_suspect() - whether a worker crashed while it ran the job.
+ * @job: record.
+ *
+ * Return: TRUE if the job must not run beside other jobs, so that a further
+ * crash shows whether it is the cause.
+ */
+gboolean hk_job_is_suspect (const struct hk_job *job);
+
+/**
+ * hk_job_add_crash() - end a run during which the worker crashed.
+ * @job: record; a suspect from now on, and requeued or failed for good.
+ * @instance: name of the instance.
+ * @alone: whether the worker ran no other job, so that the crash counts as a
+ *         failure of this one.
+ */
+void hk_job_add_crash (struct hk_job *job, const char *instance,
+                       gboolean alone);
+
 /**
  * hk_job_key() - store key of a job.
  * @id: job ID.
--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -42,6 +42,12 @@
   load->free_cpu_milli = (u_int)MAX (free_size.cpu_milli, 0);
   load->free_memory_mb = (u_int)MAX (free_size.memory_mb, 0);
   load->free_accelerators = (u_int)MAX (free_size.accelerators, 0);
+  if (hk_agent_jobs_suspect_held (&agent->jobs))
+    {
+      load->free_cpu_milli = 0;
+      load->free_memory_mb = 0;
+      load->free_accelerators = 0;
+    }
   load->slowdown_percent
       = (u_int)MAX (agent->requests.interference.slowdown_percent, 100);
   load->refusing = agent->draining || !agent->link.ready;
--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -368,6 +368,14 @@
  */
 void hk_agent_jobs_worker_restarted (struct hk_agent_jobs *j);
 
+/**
+ * hk_agent_jobs_suspect_held() - whether a job is held that must run alone.
+ * @j: jobs task.
+ *
+ * Return: TRUE if no other job is accepted.
+ */
+gboolean hk_agent_jobs_suspect_held (const struct hk_agent_jobs *j);
+
 /* announcer.c */
 
 /**
--- a/src/agent/job_record.c
+++ b/src/agent/job_record.c
@@ -7,9 +7,6 @@
 #include "hyssopkeel/id.h"
 
 #define RECORD_WRITE_TIMEOUT_MS 3000
-/* A job has failed for good after this many runs that failed, each on another
-   instance where the pool has so many. */
-#define FAILED_RUNS_MAX 3
 
 static void
 set_text (char **slot, const char *text)
@@ -112,9 +109,9 @@
       break;
     case HK_JOB_OUTCOME_FAILED:
       hk_job_add_failure (next, instance);
-      hk_job_requeue (next);
-      if (!next->cancel && next->attempts >= FAILED_RUNS_MAX)
-        hk_job_set_state (next, HK_JOB_FAILED);
+      break;
+    case HK_JOB_OUTCOME_CRASHED:
+      hk_job_add_crash (next, instance, j->crashed_alone);
       break;
     case HK_JOB_OUTCOME_REQUEUE:
       next->evictions += j->evicted;
--- a/src/agent/job_run.c
+++ b/src/agent/job_run.c
@@ -275,6 +275,7 @@
 hk_job_run_adopt (struct hk_agent_job *j, json_object *task)
 {
   j->on_worker = TRUE;
+  j->may_have_run = TRUE;
   j->phase = HK_PHASE_RUN;
   hk_job_run_state_update (j, task);
 }
@@ -304,6 +305,7 @@
       record_task_end (j, HK_JOB_OUTCOME_FAILED);
       return;
     }
+  j->may_have_run = rc != HK_ERR_UNAVAILABLE;
   if (rc < 0)
     hk_log_error ("jobs", j->job.id, err);
   hk_log (HK_LOG_INFO, "jobs", NULL, j->job.id,
@@ -338,6 +340,7 @@
 #undef ADD_STR
   j->phase = HK_PHASE_START;
   j->on_worker = TRUE;
+  j->may_have_run = TRUE;
   j->missed_listings = 0;
   call_worker (j, "/tasks", body, on_started);
 }
@@ -669,3 +672,23 @@
   set_text (&j->job.reason, "worker lost the task");
   record_task_end (j, HK_JOB_OUTCOME_REQUEUE);
 }
+
+void
+hk_job_run_worker_crashed (struct hk_agent_job *j, gboolean alone)
+{
+  if (!j->may_have_run
+      || (j->phase != HK_PHASE_RUN && j->phase != HK_PHASE_STOP))
+    {
+      hk_job_run_task_lost (j);
+      return;
+    }
+  hk_log (HK_LOG_WARN, "jobs", NULL, j->job.id,
+          "worker crashed while it had the task epoch=%" PRId64 " %s",
+          j->job.epoch,
+          alone ? "and no other: counted as a failure of the job"
+                : "and others: the job is to run alone");
+  j->on_worker = FALSE;
+  j->crashed_alone = alone;
+  set_text (&j->job.reason, "worker crashed while it had the task");
+  record_task_end (j, HK_JOB_OUTCOME_CRASHED);
+}
--- a/src/agent/job_run.h
+++ b/src/agent/job_run.h
@@ -18,7 +18,8 @@
 {
   HK_JOB_OUTCOME_REQUEUE, /* requeued, or cancelled on request */
   HK_JOB_OUTCOME_DONE,
-  HK_JOB_OUTCOME_FAILED
+  HK_JOB_OUTCOME_FAILED,
+  HK_JOB_OUTCOME_CRASHED /* the worker crashed while it had the task */
 };
 
 /**
@@ -31,12 +32,16 @@
  * @size: capacity booked for it; zero slots once released.
  * @offer_call: offer RPC to reply to after the claim, or NULL.
  * @on_worker: whether the worker may have the task.
+ * @may_have_run: whether the task may have run on the worker; FALSE if the
+ *                connection for its start was refused.
  * @call_in_flight: whether a call to the worker is in flight.
  * @discard_pending: whether the task must be discarded once that call ends.
  * @missed_listings: consecutive listings without the task.
  * @write_id: id of the write in flight, or NULL.
  * @next: record that is being written.
  * @outcome: how the task ended, valid in HK_PHASE_RECORD.
+ * @crashed_alone: whether a worker that crashed ran no other job, valid for
+ *                 HK_JOB_OUTCOME_CRASHED.
  * @evicted: whether a requeue counts as an eviction.
  * @checkpoint_at_ms: next time at which the checkpoint is stored, on
  *                    hk_clock_ms().
@@ -54,12 +59,14 @@
   struct hk_size size;
   struct hk_rpc_request *offer_call;
   gboolean on_worker;
+  gboolean may_have_run;
   gboolean call_in_flight;
   gboolean discard_pending;
   int missed_listings;
   char *write_id;
   struct hk_job next;
   enum hk_job_outcome outcome;
+  gboolean crashed_alone;
   gboolean evicted;
   int64_t checkpoint_at_ms;
   int64_t started_ms;
@@ -125,9 +132,16 @@
  */
 void hk_job_run_state_update (struct hk_agent_job *j, json_object *task);
 
+/**
+ * hk_job_run_worker_crashed() - end the run of a job whose worker restarted.
+ * @j: job.
+ * @alone: whether no other job may have run on the worker.
+ */
+void hk_job_run_worker_crashed (struct hk_agent_job *j, gboolean alone);
+
 /**
  * hk_job_run_task_lost() - requeue a job whose task the worker no longer has.
- * @j: job; its worker restarted or stopped listing the task.
+ * @j: job; its worker stopped listing the task, or never had it.
  */
 void hk_job_run_task_lost (struct hk_agent_job *j);
 
--- a/src/agent/jobs.c
+++ b/src/agent/jobs.c
@@ -211,6 +211,26 @@
   return NULL;
 }
 
+gboolean
+hk_agent_jobs_suspect_held (const struct hk_agent_jobs *j)
+{
+  const struct hk_agent_job *held;
+
+  TAILQ_FOREACH (held, &j->list, link)
+  if (hk_job_is_suspect (&held->job))
+    return TRUE;
+  return FALSE;
+}
+
+/* Whether the job, or one that is held, must not run beside others. */
+static gboolean
+must_run_apart (const struct hk_agent_jobs *j, const struct hk_job *job)
+{
+  return hk_agent_jobs_suspect_held (j)
+         || (hk_job_is_suspect (job)
+             && (j->n_jobs > 0 || g_hash_table_size (j->adopting_ids) > 0));
+}
+
 static void
 accept_offer (struct hk_agent_jobs *j, struct hk_rpc_request *rpc,
               struct hk_job *job)
@@ -220,6 +240,13 @@
       = hk_capacity_route_limit (&j->agent->capacity, job->route);
   struct hk_agent_job *held;
 
+  if (must_run_apart (j, job))
+    {
+      reply_status (j, rpc, HK_ERR_FULL,
+                    "a worker crashed under the job or "
+                    "under one that is held here");
+      return;
+    }
   if (hk_capacity_book (&j->agent->capacity, job->route, &size, hk_clock_ms ())
       < 0)
     {
@@ -290,11 +317,15 @@
 {
   struct hk_agent_job *job;
   struct hk_agent_job *next;
+  int n_on_worker = 0;
 
+  TAILQ_FOREACH (job, &j->list, link)
+  n_on_worker
+      += job->on_worker && job->may_have_run && job->phase <= HK_PHASE_STOP;
   for (job = TAILQ_FIRST (&j->list); job; job = next)
     {
       next = TAILQ_NEXT (job, link);
-      hk_job_run_task_lost (job);
+      hk_job_run_worker_crashed (job, n_on_worker == 1);
     }
 }
 
--- a/src/jobs/job.c
+++ b/src/jobs/job.c
@@ -6,6 +6,12 @@
 #include "hyssopkeel/store.h"
 
 #define TEXT_MAX_BYTES 262144
+/* A job has failed for good after this many failed runs, each on another
+   instance where the pool has so many. */
+#define FAILED_RUNS_MAX 3
+/* Starts an entry of the failed instances that is no failure of the job yet.
+   Builds without crash counts read it as the name of an unknown instance. */
+#define CRASH_MARK "crashed:"
 #define FIELD(name, type, member, required)                                   \
   {                                                                           \
     name, type, offsetof (struct hk_job, member), required, 0, 0              \
@@ -121,25 +127,51 @@
   g_clear_pointer (&job->boot, g_free);
 }
 
+static void
+add_failed_on (struct hk_job *job, const char *name)
+{
+  g_autoptr (GStrvBuilder) names = g_strv_builder_new ();
+
+  if (job->failed_on
+      && g_strv_contains ((const char *const *)job->failed_on, name))
+    return;
+  if (job->failed_on)
+    g_strv_builder_addv (names, (const char **)job->failed_on);
+  g_strv_builder_add (names, name);
+  g_strfreev (job->failed_on);
+  job->failed_on = g_strv_builder_end (names);
+}
+
 void
 hk_job_add_failure (struct hk_job *job, const char *instance)
 {
-  g_autoptr (GPtrArray) list = g_ptr_array_new ();
-
   job->attempts++;
-  for (char **p = job->failed_on; p && *p; p++)
-    {
-      if (strcmp (*p, instance) == 0)
-        {
-          g_ptr_array_set_free_func (list, g_free);
-          return;
-        }
-      g_ptr_array_add (list, g_strdup (*p));
-    }
-  g_ptr_array_add (list, g_strdup (instance));
-  g_ptr_array_add (list, NULL);
-  g_strfreev (job->failed_on);
-  job->failed_on = (char **)g_ptr_array_steal (list, NULL);
+  add_failed_on (job, instance);
+  hk_job_requeue (job);
+  if (!job->cancel && job->attempts >= FAILED_RUNS_MAX)
+    hk_job_set_state (job, HK_JOB_FAILED);
+}
+
+gboolean
+hk_job_is_suspect (const struct hk_job *job)
+{
+  for (char **name = job->failed_on; name && *name; name++)
+    if (g_str_has_prefix (*name, CRASH_MARK))
+      return TRUE;
+  return FALSE;
+}
+
+void
+hk_job_add_crash (struct hk_job *job, const char *instance, gboolean alone)
+{
+  g_autofree char *mark = g_strconcat (CRASH_MARK, instance, NULL);
+
+  if (!hk_job_is_suspect (job))
+    add_failed_on (job, mark);
+  if (alone)
+    hk_job_add_failure (job, instance);
+  else
+    hk_job_requeue (job);
 }
 
 char *
--- a/tests/unit/test_text.c
+++ b/tests/unit/test_text.c
@@ -188,10 +188,40 @@
   g_assert_cmpint (hk_job_parse (&job, "{}", 2, NULL), <, 0);
 }
 
+static void
+only_crashes_alone_count_as_failures (void)
+{
+  const char *text = "{\"id\":\"j\",\"route\":\"r\",\"state\":\"running\","
+                     "\"holder\":\"s\",\"write_id\":\"w\"}";
+  struct hk_job job = { 0 };
+  struct hk_job reread = { 0 };
+  g_autofree char *written = NULL;
+
+  g_assert_cmpint (hk_job_parse (&job, text, strlen (text), NULL), ==, HK_OK);
+  g_assert_false (hk_job_is_suspect (&job));
+  for (int i = 0; i < 10; i++)
+    hk_job_add_crash (&job, "i1", FALSE);
+  g_assert_cmpint (job.state, ==, HK_JOB_QUEUED);
+  g_assert_cmpint (job.attempts, ==, 0);
+  written = hk_job_write (&job);
+  g_assert_cmpint (hk_job_parse (&reread, written, strlen (written), NULL), ==,
+                   HK_OK);
+  g_assert_true (hk_job_is_suspect (&reread));
+  hk_job_add_crash (&reread, "i1", TRUE);
+  hk_job_add_crash (&reread, "i2", TRUE);
+  g_assert_cmpint (reread.state, ==, HK_JOB_QUEUED);
+  hk_job_add_crash (&reread, "i3", TRUE);
+  g_assert_cmpint (reread.state, ==, HK_JOB_FAILED);
+  hk_job_finish (&job);
+  hk_job_finish (&reread);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/jobs/only_crashes_alone_count_as_failures",
+                   only_crashes_alone_count_as_failures);
   g_test_add_func ("/settings/errors", settings_errors_name_path_and_rule);
   g_test_add_func ("/settings/addresses",
                    settings_reject_bad_and_duplicate_addresses);
