Count crashes that the agent did not survive when jobs are requeued

A job that crashes its worker and the agent beside it was started again without end: the agent that counts crashes was gone, and entries return the jobs of an expired session to the queue without a count.

The entry that requeues a job now counts a failed run if the instance is back with another boot of its worker and the job had that worker to itself when the session expired. An instance that is only out of reach counts nothing, nor do jobs that ran beside others: after a loss of power they would all become suspects.

scenario-budget-job-crashes-instance failed before (six starts instead of three; only those that the agent outlived were counted) and passes now, as does scenario-place-instance-killed.

--- a/src/entry/job_sched.h
+++ b/src/entry/job_sched.h
@@ -28,6 +28,8 @@
  * @not_before_ms: earliest time of the next offer, on hk_clock_ms().
  * @queued_ms: when this entry saw the job queued, on hk_clock_ms().
  * @ended_ms: when this entry saw the job ended, on hk_clock_ms().
+ * @ran_alone: whether its worker had no other job when the session of its
+ *             holder expired.
  * @call_in_flight: whether an offer or a write of the record is in flight.
  * @deleted: whether the record was deleted.
  * @refs: reference count: one of the index and one per operation in flight.
@@ -43,6 +45,7 @@
   int64_t not_before_ms;
   int64_t queued_ms;
   int64_t ended_ms;
+  gboolean ran_alone;
   gboolean call_in_flight;
   gboolean deleted;
   int refs;
--- a/src/entry/takeover.c
+++ b/src/entry/takeover.c
@@ -38,20 +38,51 @@
   struct hk_timer timer;
 };
 
+/* Whether the instance of a running job is back with another boot of its
+   worker. An instance that is only out of reach tells nothing of the job. */
+static gboolean
+worker_restarted (const struct hk_sched_job *j)
+{
+  GHashTableIter iter;
+  gpointer value;
+  gboolean restarted = FALSE;
+
+  g_hash_table_iter_init (&iter, j->sched->entry->members.by_incarnation);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct hk_member *m = value;
+
+      if (g_strcmp0 (m->name, j->job.instance) != 0 || !*m->boot)
+        continue;
+      if (g_strcmp0 (m->boot, j->job.boot) == 0)
+        return FALSE;
+      restarted = TRUE;
+    }
+  return restarted;
+}
+
+/* Other jobs of a lost worker are not suspects: a loss of power would make
+   every job one. */
 static void
 requeue_job (struct hk_sched_job *j)
 {
+  gboolean crashed = j->ran_alone && worker_restarted (j);
   struct hk_job next = { 0 };
   g_autofree char *text = hk_job_write (&j->job);
 
   if (hk_job_parse (&next, text, strlen (text), NULL) < 0)
     return;
   hk_log (HK_LOG_WARN, "takeover", NULL, j->job.id,
-          "requeueing job: holder session=%s expired, epoch=%" PRId64,
-          j->job.holder, j->job.epoch);
-  hk_job_requeue (&next);
+          "requeueing job: holder session=%s expired, epoch=%" PRId64 "%s",
+          j->job.holder, j->job.epoch,
+          crashed ? ", its worker restarted and had no other job" : "");
+  if (crashed)
+    hk_job_add_crash (&next, j->job.instance, TRUE);
+  else
+    hk_job_requeue (&next);
   g_free (next.reason);
-  next.reason = g_strdup ("its holder is gone");
+  next.reason = g_strdup (crashed ? "its holder and its worker crashed"
+                                  : "its holder is gone");
   hk_sched_job_write (j, &next);
   hk_job_finish (&next);
 }
@@ -109,6 +140,25 @@
                  on_session_gone_reply, hk_member_ref (m));
 }
 
+/* Notes it before the first of the jobs is requeued. */
+static void
+note_jobs_that_ran_alone (struct hk_sched *sched, const char *session)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sched->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct hk_sched_job *j = value;
+
+      if (j->boot && g_strcmp0 (j->job.holder, session) == 0)
+        j->ran_alone
+            = g_hash_table_size (g_hash_table_lookup (sched->by_boot, j->boot))
+              == 1;
+    }
+}
+
 void
 hk_sched_session_expired (struct hk_sched *sched, const char *id,
                           int64_t worker_lease_ms)
@@ -119,6 +169,7 @@
   if (g_hash_table_contains (sched->expired_sessions, id))
     return;
   notify_holder (sched, id);
+  note_jobs_that_ran_alone (sched, id);
   expired = g_new0 (struct expired_session, 1);
   expired->sched = sched;
   expired->session = g_strdup (id);
