Stop a task whose start was in flight when its worker restarted

The flag that says whether the worker may have a task was cleared for every job when the worker restarted, also for one whose start had no answer yet. If the next boot of the worker carried that start out, a stop (a drain, a cancel) wrote the job back to the queue without asking the worker, and another instance could start it while the task ran on: twice at once until the next renewal removed the orphan or its lease ended.

"Was never started" and "its start may still be carried out" are no longer the same value: a start in flight stays a task that the worker may have. It is stopped before the job is requeued, and missed listings find it gone otherwise.

--- a/src/agent/job_run.c
+++ b/src/agent/job_run.c
@@ -666,7 +666,8 @@
 void
 hk_job_run_task_lost (struct hk_agent_job *j)
 {
-  j->on_worker = FALSE;
+  /* The next boot of the worker may still carry out a start in flight. */
+  j->on_worker = j->phase == HK_PHASE_START && j->call_in_flight;
   if (j->phase != HK_PHASE_RUN && j->phase != HK_PHASE_STOP)
     return;
   set_text (&j->job.reason, "worker lost the task");
