Test that a hedged request is not sent to a third instance

The limit of attempts without an outcome had no test with a hedge in flight. The stand-in of the worker now crashes at the end of a run's service time, so that a hedged attempt starts before the first one is lost.

--- a/tools/worker_standin.c
+++ b/tools/worker_standin.c
@@ -17,7 +17,7 @@
      fail             reply with status 500
      size             bytes of the reply; by default it echoes the body
      cut              declare more bytes than are sent
-     crash            crash when the run has started
+     crash            crash at the end of the service time
    The JSON payload of a task sets its behaviour:
      work_ms          run time without throttling
      fail             fail at the end of the run time
@@ -89,6 +89,7 @@
   int64_t cpu_milli;
   int64_t memory_mb;
   gboolean should_fail;
+  gboolean should_crash;
   int64_t reply_bytes;
   gboolean truncate_reply;
   gboolean client_disconnected;
@@ -595,6 +596,8 @@
 {
   struct run *r = user;
 
+  if (r->should_crash)
+    crash ();
   log_ground_truth ("run_end %s %" PRId64 "\n", r->id, hk_clock_ms ());
   if (!r->client_disconnected)
     {
@@ -669,6 +672,7 @@
   r->started_ms = hk_clock_ms ();
   r->cpu_milli = cpu ? g_ascii_strtoll (cpu, NULL, 10) : 0;
   r->memory_mb = memory ? g_ascii_strtoll (memory, NULL, 10) : 0;
+  r->should_crash = query_int (query, "crash", 0) != 0;
   r->should_fail = query_int (query, "fail", 0) != 0;
   r->reply_bytes = query_int (query, "size", 0);
   r->truncate_reply = query_int (query, "cut", 0) != 0;
@@ -676,8 +680,6 @@
   worker.runs_total++;
   log_ground_truth ("run_start %s %s %" PRId64 "\n", r->id,
                     r->key ? r->key : "-", r->started_ms);
-  if (query_int (query, "crash", 0))
-    crash ();
   count_overcommits ();
   g_signal_connect (msg, "disconnected", G_CALLBACK (on_run_disconnected), r);
   work_ms = work_ms * (100 + current_noise_percent ()) / 100;
