Wait for the store stand-in before a scenario applies its tables

scenario-once-agent-killed failed once after 0.07 s, at a load average of 11 to 16: the command line was refused the connection to the store stand-in ("Connection refused", exit code 6), whose process had been started but did not listen yet. The runner waits for an answer of the store now. The failure was seen once and not brought about on purpose.

--- a/tests/scenario/cluster.c
+++ b/tests/scenario/cluster.c
@@ -316,6 +316,23 @@
                            (pid >> 7) & 0x7f, 1 + (pid & 0x7f));
 }
 
+/* The command line does not wait for a store that has not started yet. */
+static void
+wait_for_store (struct cluster *c)
+{
+  g_autofree char *url = cluster_url (c, "store", "/");
+  int64_t limit = hk_clock_ms () + EXIT_LIMIT_MS;
+  guint status = 0;
+
+  while (status == 0)
+    {
+      g_autofree char *text = cluster_http ("GET", url, NULL, &status);
+
+      if (hk_clock_ms () > limit)
+        g_error ("the store did not answer within the time limit: %s", text);
+    }
+}
+
 void
 cluster_start (struct cluster *c, const struct cluster_options *o)
 {
@@ -337,6 +354,7 @@
       add_worker (c, i, o);
       add_agent (c, i, o);
     }
+  wait_for_store (c);
 }
 
 void
