--- a/tests/scenario/commands.c
+++ b/tests/scenario/commands.c
@@ -142,22 +142,6 @@
 
 /* Cluster */
 
-/* Any answer shows that the store listens. */
-static void
-wait_for_store (struct scenario *s)
-{
-  int64_t limit = hk_clock_ms () + WAIT_LIMIT_MS;
-  g_autofree char *url = cluster_url (&s->cluster, "store", "/");
-  guint status = 0;
-
-  while (status == 0)
-    {
-      g_free (cluster_http ("GET", url, NULL, &status));
-      if (status == 0 && hk_clock_ms () > limit)
-        scenario_fail (s, "the store stand-in does not listen");
-    }
-}
-
 static void
 do_cluster (struct scenario *s, char **w)
 {
@@ -175,7 +159,6 @@
   cluster_start (&s->cluster, &o);
   traffic_init (&s->traffic, &s->cluster);
   s->started = TRUE;
-  wait_for_store (s);
   if (scenario_number (w, "bare", 0))
     return;
   scenario_run (s, "apply setup %s/tables.json", g_getenv ("HK_SCRIPT_DIR"));
@@ -535,11 +518,12 @@
   g_autofree char *body = g_strdup_printf (
       "{\"id\":\"%s\",\"route\":\"%s\",\"cpu_milli\":%d,\"memory_mb\":%d,"
       "\"payload\":\"{\\\"work_ms\\\":%d,\\\"noise\\\":%d,\\\"fail\\\":%s,"
-      "\\\"memory_mb\\\":%d,\\\"result\\\":\\\"ok\\\"}\"}",
+      "\\\"crash\\\":%s,\\\"memory_mb\\\":%d,\\\"result\\\":\\\"ok\\\"}\"}",
       w[1], scenario_option (w, "route", "tint"),
       scenario_number (w, "cpu", 1000), scenario_number (w, "memory", 1000),
       scenario_number (w, "work", 1000), scenario_number (w, "noise", 0),
-      scenario_option (w, "fail", "false"), scenario_number (w, "uses", 0));
+      scenario_option (w, "fail", "false"),
+      scenario_option (w, "crash", "false"), scenario_number (w, "uses", 0));
   g_autofree char *text = NULL;
   int64_t limit = hk_clock_ms () + WAIT_LIMIT_MS;
   guint status = 0;
