Stop unconfirmed starts that a predecessor or a former agent knew of

Callers could see two runs of one task at once: agent and endpoint restart, the present incarnation carries out a start that no report confirmed, and the coordinator has written the run off and placed its task again.

Cause: unconfirmed_runs_stop() asked hk_run::ordered_ms whether the run was ever ordered, the field that left with the intention alone. It is 0 for runs that were loaded from the store after a takeover, and for runs that an agent reported without their spec, as it does while it stops an unanswered start. Both were ended as lost without a stop.

may_execute is asked instead.

Evidence: /unconfirmed (2 tests) fails before (0 stops instead of 2 in both) and passes now; coord, restart, engine, sharing, runner, unanswered pass.

--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -275,7 +275,7 @@
   struct hk_run *run;
 
   LIST_FOREACH (run, &in->runs, link)
-  if (run->instance_start_time_ms < in->start_time_ms && run->ordered_ms
+  if (run->instance_start_time_ms < in->start_time_ms && run->may_execute
       && !run->started_ms && run->reported_ms != now)
     {
       run->instance_start_time_ms = in->start_time_ms;
