Stop unanswered starts at each incarnation within their time

Callers could see two runs of one task at once: an endpoint crashed twice within seconds under one id, and a start from before the first crash was carried out after the second, beside the run that had replaced it.

Cause: runner_unanswered_stop() forgot a start as soon as the stop was sent to the next incarnation, and the one after that knows nothing of the stop.

The fake endpoint starts its clock anew at a restart, as a real one does, so that a delayed start is not late there; before, only its deadline hid this.

Evidence: unanswered_starts_are_stopped_at_each_incarnation fails before (2 runs at once) and passes now, as the other tests of /unanswered do.

--- a/src/runner/runner_unanswered.c
+++ b/src/runner/runner_unanswered.c
@@ -53,20 +53,20 @@
   TAILQ_INSERT_TAIL (&r->unanswered, u, link);
 }
 
-/* To be called when another incarnation of the endpoint was found. */
+/* To be called when another incarnation of the endpoint was found. The starts
+   are kept, as the one after it knows nothing of these stops. */
 void
 runner_unanswered_stop (struct hk_runner *r)
 {
-  struct runner_unanswered *u;
+  const struct runner_unanswered *u;
   unsigned n = 0;
 
   drop_delivered (r, hk_clock_ms ());
-  while ((u = TAILQ_FIRST (&r->unanswered)))
-    {
-      n++;
-      runner_run_stop (r, &u->task, u->number);
-      unanswered_free (r, u);
-    }
+  TAILQ_FOREACH (u, &r->unanswered, link)
+  {
+    n++;
+    runner_run_stop (r, &u->task, u->number);
+  }
   if (n > 0)
     hk_log (HK_LOG_INFO, "runner", NULL, NULL,
             "event=unanswered_starts_stopped runs=%u "
--- a/tests/runner/test_unanswered.c
+++ b/tests/runner/test_unanswered.c
@@ -49,6 +49,30 @@
   fixture_finish (&f);
 }
 
+/* Guards against the same at the incarnation after the next, which knows
+   nothing of the stop. */
+static void
+unanswered_starts_are_stopped_at_each_incarnation (void)
+{
+  struct fixture f;
+
+  fixture_init (&f);
+  /* An agent that has just started doubts all its starts. */
+  test_run_for (3100);
+  f.rt.work_ms = 900;
+  f.rt.delay_starts = 2;
+  send_request (&f, 0, HK_JOB_REQUEST_SUBMIT);
+  test_run_until (two_starts_delayed, &f.rt);
+  for (int i = 0; i < 2; i++)
+    {
+      endpoint_crash (&f);
+      test_run_until (two_running, &f.rt);
+      test_run_for (50);
+    }
+  check_once (&f);
+  fixture_finish (&f);
+}
+
 static gboolean
 two_acknowledged (void *user)
 {
@@ -113,6 +137,7 @@
     hk_log_init ("info");
 #define ADD(name) g_test_add_func ("/unanswered/" #name, name)
   ADD (unanswered_starts_are_stopped_after_a_crash);
+  ADD (unanswered_starts_are_stopped_at_each_incarnation);
   ADD (unanswered_attempts_are_stopped_after_the_end);
   ADD (starts_of_a_former_agent_run_once);
   return g_test_run ();
--- a/tests/support/memory_runtime.c
+++ b/tests/support/memory_runtime.c
@@ -6,6 +6,9 @@
 
 #include "hyssopkeel/clock.h"
 
+/* Longest lease that it accepts. */
+#define LEASE_MAX_MS 6000
+
 struct run
 {
   hk_task_id task;
@@ -325,6 +328,10 @@
 void
 memory_runtime_restart (struct memory_runtime *rt)
 {
+  /* The clock starts anew, so that no delayed start is late. */
+  for (guint i = 0; i < rt->delayed->len; i++)
+    ((struct delayed_start *)rt->delayed->pdata[i])->deadline_ms
+        = hk_clock_ms () + LEASE_MAX_MS;
   g_ptr_array_set_size (rt->runs, 0);
   rt->start_time_ms++;
   rt->acked_seq = 0;
