Wait for the leases that a former agent renewed as it left

Callers could see two runs of one task at once: an agent was stopped by SIGTERM and started again, and its endpoint then stopped answering while its tasks went on. The new agent counted the leases from its own first renewal (hold_ms), reported the runs as expired, and the tasks were placed elsewhere. The former agent's last renewal lasts grant_ms + hold_ms less a margin: with the default settings 6.2 s against 4.35 s.

An agent that finds runs in its first list now takes their leases to be as long as the last renewal of an agent may make them.

--- a/src/runner/runner_renew.c
+++ b/src/runner/runner_renew.c
@@ -161,6 +161,14 @@
 
 /* Renewal loop */
 
+/* The longest lease that an agent which leaves asks for. */
+static int64_t
+final_lease_ms (const struct hk_runner *r)
+{
+  return MIN (r->lease_max_ms,
+              r->authority.grant_ms + r->authority.hold_ms - LEAVE_MARGIN_MS);
+}
+
 static void
 process_list (struct hk_runner *r, const struct hk_runtime_list *list,
               uint64_t sent_seq, int64_t now)
@@ -171,6 +179,10 @@
   r->endpoint_clock_ms = list->clock_ms;
   r->clock_read_ms = now;
   r->list_count++;
+  /* A former agent of the endpoint may have renewed these leases as it left.
+   */
+  if (!r->list_received && list->n_runs > 0)
+    runner_lease_extend (r, list->clock_ms + final_lease_ms (r), now);
   /* Earlier ends were acknowledged before this process started. */
   if (!r->list_received && list->n_ends > 0)
     r->acked_seq = list->ends[0].seq - 1;
@@ -304,11 +316,7 @@
   hk_timer_clear (&r->renew_timer);
   /* The lease must end within the time that a successor coordinator waits
      after the last grant. */
-  send_renewal (
-      r,
-      MIN (r->lease_max_ms,
-           r->authority.grant_ms + r->authority.hold_ms - LEAVE_MARGIN_MS),
-      0, on_done);
+  send_renewal (r, final_lease_ms (r), 0, on_done);
 }
 
 void
