Log and count crashes of endpoints with the runs that ended by them

One line a crash now names the youngest run, the likeliest cause, and hyssopkeel_endpoint_crashes_total counts crashes. No logic changes.

--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -331,6 +331,10 @@
 /* coord_consolidate.c */
 void coord_consolidate (struct hk_coord *c, int64_t now);
 
+/* coord_crash.c */
+void coord_crash_apply (struct hk_coord *c, const struct hk_instance *in,
+                        const GPtrArray *runs, const char *why, int64_t now);
+
 /* coord_stragglers.c */
 void coord_stragglers_check (struct hk_coord *c, int64_t now);
 
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -5,6 +5,8 @@
 /* The start order of a run that is missing from reports for this long is
    repeated. */
 #define RUN_MISSING_MS 2000
+/* An agent in touch reports at least three times in this time. */
+#define REPORT_GAP_MAX_MS 900
 
 static void
 end_clear (gpointer data)
@@ -46,22 +48,23 @@
    the agent ensures that no start order for them takes effect late. */
 static void
 runs_end_lost (struct hk_coord *c, struct hk_instance *in,
-               int64_t started_before_ms, int64_t listed_ms, const char *why,
-               int64_t now)
+               int64_t started_before_ms, int64_t listed_ms, gboolean crashed,
+               const char *why, int64_t now)
 {
+  g_autoptr (GPtrArray) lost = g_ptr_array_new ();
   struct hk_run *run;
-  struct hk_run *next;
-  unsigned n_lost = 0;
+  unsigned n_lost;
 
-  for (run = LIST_FIRST (&in->runs); run; run = next)
-    {
-      next = LIST_NEXT (run, link);
-      if (run->instance_start_time_ms >= started_before_ms
-          || run->reported_ms == listed_ms)
-        continue;
-      n_lost++;
-      hk_engine_run_end (run, HK_END_LOST, NULL, now, coord_wall_ms ());
-    }
+  LIST_FOREACH (run, &in->runs, link)
+  if (run->instance_start_time_ms < started_before_ms
+      && run->reported_ms != listed_ms)
+    g_ptr_array_add (lost, run);
+  n_lost = lost->len;
+  if (crashed)
+    coord_crash_apply (c, in, lost, why, now);
+  for (unsigned i = 0; i < n_lost; i++)
+    hk_engine_run_end (lost->pdata[i], HK_END_LOST, NULL, now,
+                       coord_wall_ms ());
   if (n_lost > 0)
     hk_log (HK_LOG_WARN, "sync", in->name, NULL,
             "event=runs_terminated why=\"%s\" runs=%u "
@@ -227,11 +230,31 @@
   g_array_append_val (l->ends, end);
 }
 
+/* The agent reports all runs that a crash ended at once. */
+static void
+crash_report_apply (struct coord_link *l, const hk_sync_args *args,
+                    int64_t now)
+{
+  g_autoptr (GPtrArray) lost = g_ptr_array_new ();
+
+  for (u_int i = 0; i < args->ends.ends_len; i++)
+    {
+      const hk_run_end *e = &args->ends.ends_val[i];
+      struct hk_engine_task *task = hk_engine_task (&l->c->engine, &e->task);
+      struct hk_run *run = task ? hk_engine_run_find (task, e->run) : NULL;
+
+      if (e->how == HK_END_LOST && run && run->instance == l->in)
+        g_ptr_array_add (lost, run);
+    }
+  coord_crash_apply (l->c, l->in, lost, "reported by the agent", now);
+}
+
 static void
 report_apply (struct coord_link *l, const hk_sync_args *args, int64_t now)
 {
   g_autoptr (GArray) before = l->ends;
 
+  crash_report_apply (l, args, now);
   l->ends = g_array_new (FALSE, TRUE, sizeof (struct coord_end));
   g_array_set_clear_func (l->ends, end_clear);
   g_array_set_size (l->orphans, 0);
@@ -305,6 +328,7 @@
   struct coord_link *l;
   int64_t now = hk_clock_ms ();
   gboolean pass_needed = args->ends.ends_len > 0;
+  gboolean in_touch;
 
   if (c->state != COORD_LEADING || args->term > c->term)
     {
@@ -319,6 +343,9 @@
       hk_rpc_reply (req, &refusal);
       return;
     }
+  /* An agent that was silent may have stopped together with its endpoint. */
+  in_touch
+      = !in->last_report_ms || now - in->last_report_ms < REPORT_GAP_MAX_MS;
   coord_link_reply (l, TRUE);
   l->parked = req;
   l->received_ms = now;
@@ -340,7 +367,8 @@
   pass_needed = instance_update (in, args, now) || pass_needed;
   interference_seed (c, args);
   report_apply (l, args, now);
-  runs_end_lost (c, in, in->start_time_ms, now, "endpoint restarted", now);
+  runs_end_lost (c, in, in->start_time_ms, now, in_touch, "endpoint restarted",
+                 now);
   coord_interference_learn (c, in, now);
   missing_runs_reorder (in, now);
   pass_needed = unordered_runs_end (in, now) || pass_needed;
@@ -363,6 +391,6 @@
     if (LIST_EMPTY (&in->runs)
         || now <= hk_authority_terminated_at (&c->authority, until))
       continue;
-    runs_end_lost (c, in, G_MAXINT64, -1, "leases expired", now);
+    runs_end_lost (c, in, G_MAXINT64, -1, FALSE, "leases expired", now);
   }
 }
