Failing test of tasks that crash endpoint after endpoint

A coordinator with simulated agents whose endpoints crash when they start certain tasks. Five of the six cases fail with a sixth start of the culprit; the sixth, which keeps innocent tasks from being given up, passes.

--- /dev/null
+++ b/tests/coord/test_crash.c
@@ -0,0 +1,256 @@
+/* Tasks that crash the endpoints that start them, and the tasks beside them.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "coord_support.h"
+#include "hyssopkeel/engine.h"
+
+#define CULPRIT_JOB "1111111111111111"
+#define OTHER_JOB "2222222222222222"
+#define AGENTS_MAX 2
+/* Rounds of reports; each takes at most 0.3 s for each agent. */
+#define ROUNDS_MAX 40
+
+/* A coordinator and its agents. The endpoint of an agent crashes @n_crashes
+   times in all, when it starts one of the first @n_culprits tasks of
+   CULPRIT_JOB; all other runs end well in the round after they have
+   survived one. */
+struct site
+{
+  struct memory_store store;
+  struct hk_coord *c;
+  struct agent agents[AGENTS_MAX];
+  unsigned n_agents;
+  unsigned survived[AGENTS_MAX];
+  unsigned n_culprits;
+  unsigned n_crashes;
+  unsigned starts[8]; /* of each culprit */
+};
+
+static void
+site_connect (struct site *s, const char *name)
+{
+  g_autofree char *address = NULL;
+
+  s->c = coord_start (&s->store, name, &address);
+  test_run_until (is_leading, s->c);
+  for (unsigned i = 0; i < s->n_agents; i++)
+    if (s->agents[i].name)
+      agent_reconnect (&s->agents[i], address);
+    else
+      agent_init (&s->agents[i], i ? "a2" : "a1", address);
+}
+
+static void
+site_init (struct site *s, unsigned n_agents, unsigned n_culprits,
+           unsigned n_crashes)
+{
+  memset (s, 0, sizeof *s);
+  s->n_agents = n_agents;
+  s->n_culprits = n_culprits;
+  s->n_crashes = n_crashes;
+  memory_store_init (&s->store);
+  site_connect (s, "e1");
+}
+
+static void
+site_finish (struct site *s)
+{
+  for (unsigned i = 0; i < s->n_agents; i++)
+    agent_finish (&s->agents[i]);
+  hk_coord_free (s->c);
+  memory_store_finish (&s->store);
+}
+
+static void
+submit (struct site *s, const char *id, unsigned count, unsigned flags)
+{
+  const unsigned counts[] = { count, 0 };
+  hk_job_spec *spec = test_job_spec_new (id, counts, flags);
+  hk_job_request_args args = { .kind = HK_JOB_REQUEST_SUBMIT,
+                               .id = (char *)id,
+                               .queue = (char *)"batch",
+                               .job = { 1, spec } };
+  struct request_result r = { 0 };
+
+  hk_coord_request (s->c, &args, 5000, on_request_reply, &r);
+  test_run_until (has_reply, &r);
+  g_assert_cmpint (r.outcome, ==, HK_JOB_REQUEST_DONE);
+  test_job_spec_free (spec);
+}
+
+static unsigned
+state_of (struct site *s, const char *id)
+{
+  struct request_result r;
+
+  send_request (s->c, HK_JOB_REQUEST_STATE, id, &r);
+  test_run_until (has_reply, &r);
+  return r.state;
+}
+
+static gboolean
+crashes_endpoint (struct site *s, const hk_run_report *run)
+{
+  if (strcmp (run->task.job, CULPRIT_JOB) != 0
+      || run->task.index >= s->n_culprits || s->n_crashes == 0)
+    return FALSE;
+  s->starts[run->task.index]++;
+  return TRUE;
+}
+
+static void
+end_runs (struct agent *a, hk_end_how how)
+{
+  for (unsigned i = 0; i < a->n_runs; i++)
+    a->ends[a->n_ends++] = (hk_run_end){ .task = a->runs[i].task,
+                                         .run = a->runs[i].run,
+                                         .how = how,
+                                         .checkpoint = (char *)"" };
+  a->n_runs = 0;
+}
+
+static void
+site_round (struct site *s)
+{
+  for (unsigned i = 0; i < s->n_agents; i++)
+    {
+      struct agent *a = &s->agents[i];
+      unsigned n_before = a->n_runs;
+      gboolean crashed = FALSE;
+
+      report (a);
+      a->n_ends = 0;
+      for (unsigned k = n_before; k < a->n_runs; k++)
+        crashed = crashes_endpoint (s, &a->runs[k]) || crashed;
+      if (crashed)
+        s->n_crashes--;
+      if (crashed)
+        end_runs (a, HK_END_LOST);
+      else if (n_before > 0 && n_before == a->n_runs && ++s->survived[i] > 4)
+        end_runs (a, HK_END_DONE);
+      if (a->n_runs == 0)
+        s->survived[i] = 0;
+    }
+}
+
+static unsigned
+run_until_ended (struct site *s, const char *id)
+{
+  unsigned state = 0;
+
+  for (int i = 0; i < ROUNDS_MAX && state < HK_JOB_STATE_COMPLETED; i++)
+    {
+      site_round (s);
+      state = state_of (s, id);
+      for (unsigned k = 0; k < s->n_culprits; k++)
+        g_assert_cmpuint (s->starts[k], <=, 5);
+    }
+  return state;
+}
+
+/* Issue 21, BUDGET: one task crashed endpoint after endpoint. */
+static void
+tasks_that_crash_endpoints_are_given_up (void)
+{
+  struct site s;
+
+  site_init (&s, 2, 1, G_MAXUINT);
+  submit (&s, OTHER_JOB, 2, 0);
+  submit (&s, CULPRIT_JOB, 2, 0);
+  g_assert_cmpuint (run_until_ended (&s, CULPRIT_JOB), ==,
+                    HK_JOB_STATE_FAILED);
+  g_assert_cmpuint (s.starts[0], ==, 3);
+  g_assert_cmpuint (run_until_ended (&s, OTHER_JOB), ==,
+                    HK_JOB_STATE_COMPLETED);
+  site_finish (&s);
+}
+
+static void
+sites_with_one_instance_go_on (void)
+{
+  struct site s;
+
+  site_init (&s, 1, 1, G_MAXUINT);
+  submit (&s, OTHER_JOB, 2, 0);
+  submit (&s, CULPRIT_JOB, 2, 0);
+  g_assert_cmpuint (run_until_ended (&s, CULPRIT_JOB), ==,
+                    HK_JOB_STATE_FAILED);
+  g_assert_cmpuint (run_until_ended (&s, OTHER_JOB), ==,
+                    HK_JOB_STATE_COMPLETED);
+  site_finish (&s);
+}
+
+static void
+service_tasks_that_crash_endpoints_are_given_up (void)
+{
+  struct site s;
+
+  site_init (&s, 2, 1, G_MAXUINT);
+  submit (&s, CULPRIT_JOB, 1, HK_STEP_SERVICE);
+  g_assert_cmpuint (run_until_ended (&s, CULPRIT_JOB), ==,
+                    HK_JOB_STATE_FAILED);
+  g_assert_cmpuint (s.starts[0], ==, 3);
+  site_finish (&s);
+}
+
+static void
+steps_with_several_causes_are_given_up (void)
+{
+  struct site s;
+
+  site_init (&s, 2, 4, G_MAXUINT);
+  submit (&s, CULPRIT_JOB, 4, 0);
+  g_assert_cmpuint (run_until_ended (&s, CULPRIT_JOB), ==,
+                    HK_JOB_STATE_FAILED);
+  g_assert_cmpuint (G_MAXUINT - s.n_crashes, <=, 8);
+  site_finish (&s);
+}
+
+static void
+crashes_are_counted_across_takeovers (void)
+{
+  struct site s;
+
+  site_init (&s, 2, 1, G_MAXUINT);
+  submit (&s, CULPRIT_JOB, 1, 0);
+  for (int i = 0; i < ROUNDS_MAX && s.starts[0] < 2; i++)
+    site_round (&s);
+  site_round (&s);
+  hk_coord_free (s.c);
+  site_connect (&s, "e2");
+  g_assert_cmpuint (run_until_ended (&s, CULPRIT_JOB), ==,
+                    HK_JOB_STATE_FAILED);
+  g_assert_cmpuint (s.starts[0], ==, 3);
+  site_finish (&s);
+}
+
+static void
+two_crashes_by_chance_convict_no_task (void)
+{
+  struct site s;
+
+  site_init (&s, 2, 1, 2);
+  submit (&s, OTHER_JOB, 2, 0);
+  submit (&s, CULPRIT_JOB, 2, 0);
+  g_assert_cmpuint (run_until_ended (&s, CULPRIT_JOB), ==,
+                    HK_JOB_STATE_COMPLETED);
+  g_assert_cmpuint (run_until_ended (&s, OTHER_JOB), ==,
+                    HK_JOB_STATE_COMPLETED);
+  site_finish (&s);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+#define ADD(name) g_test_add_func ("/crash/" #name, name)
+  ADD (tasks_that_crash_endpoints_are_given_up);
+  ADD (sites_with_one_instance_go_on);
+  ADD (service_tasks_that_crash_endpoints_are_given_up);
+  ADD (steps_with_several_causes_are_given_up);
+  ADD (crashes_are_counted_across_takeovers);
+  ADD (two_crashes_by_chance_convict_no_task);
+  return g_test_run ();
+}
