Give up tasks that crash the endpoints that start them

Callers saw: a submission with a task that crashes its endpoint a few milliseconds after each start never ended; its task was started up to 50 times, and everything that ran beside it was lost each time.

Cause: a run that is lost with its endpoint counted as no attempt, so nothing bounded the runs of a task that ends so. Class of fault: retry without a limit across failure domains (poison pill); the loss of an instance was taken to be independent of what ran there.

Each task counts the crashes of endpoints that it may have caused: those under which its runs ended at about the same age, if no run of it has lived clearly longer. The count is part of the job's progress record, behind the fields that earlier builds read, so it outlives a takeover. A task with a crash soon after its start is a suspect: it is placed apart from other suspects, from its second crash on also from all other starts, on at most half of the instances, and gets no speculative attempt. A run that outlives the age of the crashes clears it. A task is given up, and its job fails, if its third crash or a later one has no other likely cause, and at the fifth crash in any case.

On the only instance of a site suspects start together, as they cannot be kept apart there.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <sys/queue.h>
 
+#include "hyssopkeel/crash_blame.h"
 #include "hyssopkeel/error.h"
 #include "hyssopkeel/hk_job_xdr.h"
 #include "hyssopkeel/load_trend.h"
@@ -66,6 +67,7 @@
  * @progress_ms: time of the last report with more progress, or of the first.
  * @throttled_since_ms: time since which its speed has been so low that it
  *                      may be moved; 0 if it is not.
+ * @watch: how it is separated from other runs; see hk_engine_run_watch().
  */
 struct hk_run
 {
@@ -92,6 +94,7 @@
   double full_speed_ms;
   int64_t progress_ms;
   int64_t throttled_since_ms;
+  enum hk_crash_watch watch;
   LIST_ENTRY (hk_run) link;
 };
 
@@ -108,6 +111,9 @@
  * @ready_ms: time of the last event that could make it ready: submission, the
  *            end of a task of an earlier step, or the end of its own run.
  * @checkpoint: newest checkpoint, or NULL.
+ * @crash: crashes of endpoints that it may have caused.
+ * @reserved_until_ms: it waits until then for an instance that is kept free of
+ *                     other starts.
  * @runs: runs that may be executing; more than one only if the step is
  *        speculative.
  */
@@ -120,6 +126,8 @@
   unsigned failures;
   int64_t ready_ms;
   char *checkpoint;
+  struct hk_crash_history crash;
+  int64_t reserved_until_ms;
   struct hk_run *runs[HK_RUNS_PER_TASK];
 };
 
@@ -169,6 +177,7 @@
  * @ended_wall_ms: the same as time of day, milliseconds since 1970.
  * @n_tasks: tasks of all steps.
  * @n_runs: runs whose end has not been seen.
+ * @n_watched: those that are watched.
  * @steps: one for each step of @spec.
  * @run_time_ratio_sum: sum of measured over declared run time, of
  *                      @run_time_samples finished runs.
@@ -198,6 +207,7 @@
   int64_t ended_wall_ms;
   unsigned n_tasks;
   unsigned n_runs;
+  unsigned n_watched;
   struct hk_engine_step *steps;
   double run_time_ratio_sum;
   unsigned run_time_samples;
@@ -236,6 +246,10 @@
  * @orphaned_cpu_milli: unused.
  * @orphaned_memory_mb: unused.
  * @n_runs: number of @runs.
+ * @n_watched: watched runs.
+ * @n_exclusive: part of @n_watched beside which nothing may start.
+ * @reserved_until_ms: until then only an exclusive run may start.
+ * @reservable_from_ms: not reserved again before this time.
  * @failure_rate: moving average of the share of runs that failed, 0 to 1.
  * @run_time_ratio: moving average of measured over expected run time; 1 is
  *                  normal.
@@ -270,6 +284,10 @@
   unsigned orphaned_cpu_milli;
   unsigned orphaned_memory_mb;
   unsigned n_runs;
+  unsigned n_watched;
+  unsigned n_exclusive;
+  int64_t reserved_until_ms;
+  int64_t reservable_from_ms;
   double failure_rate;
   double run_time_ratio;
   int64_t suspect_until_ms;
@@ -293,6 +311,7 @@
  * @dirty: @n_dirty jobs with changes to commit, oldest change first.
  * @instance_list: the same as @instances, in order of creation.
  * @cursor: next instance in turn as a candidate; NULL for the first one.
+ * @n_watched: watched runs on all instances.
  */
 struct hk_engine
 {
@@ -303,6 +322,7 @@
   TAILQ_HEAD (, hk_engine_job) dirty;
   TAILQ_HEAD (hk_instance_list, hk_instance) instance_list;
   struct hk_instance *cursor;
+  unsigned n_watched;
   unsigned n_dirty;
 };
 
@@ -378,6 +398,18 @@
                         const char *checkpoint, int64_t now_ms,
                         int64_t wall_ms);
 
+/**
+ * hk_engine_run_watch() - separate a run from others, or end that.
+ * @run: run of a task that may crash its endpoint.
+ * @watch: level.
+ */
+void hk_engine_run_watch (struct hk_run *run, enum hk_crash_watch watch);
+
+/** hk_engine_task_give_up() - fail a task, and its job, however it may be
+ * retried otherwise; its runs are marked to be stopped. */
+void hk_engine_task_give_up (struct hk_engine_task *task, int64_t now_ms,
+                             int64_t wall_ms);
+
 /** hk_engine_run_stop() - mark a run to be stopped; the order is sent anew. */
 void hk_engine_run_stop (struct hk_run *run);
 
--- a/include/hyssopkeel/hk_job_xdr.h
+++ b/include/hyssopkeel/hk_job_xdr.h
@@ -99,6 +99,22 @@
 };
 typedef struct hk_job_progress hk_job_progress;
 
+struct hk_task_crashes {
+	u_int step;
+	u_int index;
+	u_int crashes;
+	u_int age_ms;
+};
+typedef struct hk_task_crashes hk_task_crashes;
+
+struct hk_job_crashes {
+	struct {
+		u_int tasks_len;
+		hk_task_crashes *tasks_val;
+	} tasks;
+};
+typedef struct hk_job_crashes hk_job_crashes;
+
 struct hk_task_id {
 	char *job;
 	u_int occurrence;
@@ -325,6 +341,8 @@
 extern  bool_t xdr_hk_task_progress (XDR *, hk_task_progress*);
 extern  bool_t xdr_hk_place_name (XDR *, hk_place_name*);
 extern  bool_t xdr_hk_job_progress (XDR *, hk_job_progress*);
+extern  bool_t xdr_hk_task_crashes (XDR *, hk_task_crashes*);
+extern  bool_t xdr_hk_job_crashes (XDR *, hk_job_crashes*);
 extern  bool_t xdr_hk_task_id (XDR *, hk_task_id*);
 extern  bool_t xdr_hk_run_report (XDR *, hk_run_report*);
 extern  bool_t xdr_hk_end_how (XDR *, hk_end_how*);
@@ -348,6 +366,8 @@
 extern bool_t xdr_hk_task_progress ();
 extern bool_t xdr_hk_place_name ();
 extern bool_t xdr_hk_job_progress ();
+extern bool_t xdr_hk_task_crashes ();
+extern bool_t xdr_hk_job_crashes ();
 extern bool_t xdr_hk_task_id ();
 extern bool_t xdr_hk_run_report ();
 extern bool_t xdr_hk_end_how ();
--- a/include/hyssopkeel/job_placement.h
+++ b/include/hyssopkeel/job_placement.h
@@ -50,6 +50,7 @@
  * @best_effort_free_milli: CPU that further best-effort tasks could use.
  * @run_time_ratio: learned run times there over the usual ones; 1 is usual.
  * @failure_rate: fraction of recent runs there that failed, 0 to 1.
+ * @has_suspect: a run there may crash the endpoint.
  * @usable: in service, and with the pool and labels that the task requires.
  */
 struct hk_job_place_view
@@ -69,6 +70,7 @@
   int64_t best_effort_free_milli;
   double run_time_ratio;
   double failure_rate;
+  gboolean has_suspect;
   gboolean usable;
 };
 
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -289,6 +289,9 @@
 gboolean coord_pass_place (struct coord_pass *p, struct hk_engine_task *task);
 gboolean coord_place_speculative (struct hk_coord *c,
                                   struct hk_engine_task *task, int64_t now);
+/* Whether an instance is in service for the tasks of a step. */
+gboolean coord_accepts_runs (const struct hk_instance *in,
+                             const struct hk_engine_step *step, int64_t now);
 gboolean coord_has_better_instance (struct hk_coord *c,
                                     const struct hk_engine_task *task,
                                     const struct hk_instance *current,
@@ -334,6 +337,13 @@
 /* coord_crash.c */
 void coord_crash_apply (struct hk_coord *c, const struct hk_instance *in,
                         const GPtrArray *runs, const char *why, int64_t now);
+void coord_crash_check (struct hk_coord *c);
+void coord_crash_adopt (struct hk_coord *c);
+
+/* coord_crash_place.c */
+gboolean coord_crash_admits (const struct hk_instance *in,
+                             const struct hk_engine_task *task, int64_t now);
+gboolean coord_crash_place (struct coord_pass *p, struct hk_engine_task *task);
 
 /* coord_stragglers.c */
 void coord_stragglers_check (struct hk_coord *c, int64_t now);
--- a/src/coord/coord_candidates.c
+++ b/src/coord/coord_candidates.c
@@ -69,9 +69,9 @@
   return FALSE;
 }
 
-static gboolean
-accepts_runs (const struct hk_instance *in, const struct hk_engine_step *step,
-              int64_t now)
+gboolean
+coord_accepts_runs (const struct hk_instance *in,
+                    const struct hk_engine_step *step, int64_t now)
 {
   return in->capacity_known && !in->draining && !in->leaving && in->link
          && now - in->last_report_ms < REPORT_AGE_MAX_MS
@@ -99,6 +99,7 @@
     }
   v->run_time_ratio = in->run_time_ratio;
   v->failure_rate = in->failure_rate;
+  v->has_suspect = in->n_watched > 0;
   view_interference (c, v, in, step);
   if (step->spec->per_instance_max > 0)
     v->same_step = count_step_runs (in, step);
@@ -114,7 +115,8 @@
   const hk_step_spec *spec = task->step->spec;
   int64_t free_milli;
 
-  if (has_run_on (task, in) || !accepts_runs (in, task->step, now))
+  if (has_run_on (task, in) || !coord_accepts_runs (in, task->step, now)
+      || !coord_crash_admits (in, task, now))
     return FALSE;
   view_instance (c, v, in, task->step, now);
   free_milli = spec->flags & HK_STEP_BEST_EFFORT ? v->best_effort_free_milli
@@ -183,7 +185,8 @@
   p->n = 0;
   while (in && p->n < HK_PASS_CANDIDATES_MAX)
     {
-      if (!has_run_on (task, in) && accepts_runs (in, task->step, p->now))
+      if (!has_run_on (task, in) && coord_accepts_runs (in, task->step, p->now)
+          && coord_crash_admits (in, task, p->now))
         {
           p->views[p->n] = (struct hk_job_place_view){ 0 };
           view_instance (p->c, &p->views[p->n], in, task->step, p->now);
--- a/src/coord/coord_crash.c
+++ b/src/coord/coord_crash.c
@@ -1,4 +1,5 @@
-/* Crashes of endpoints: which runs ended with them. */
+/* Crashes of endpoints: counts them against the tasks that may have caused
+   them, clears the tasks that prove harmless and gives up the others. */
 #include "coord.h"
 
 static gboolean
@@ -7,22 +8,42 @@
   return run->inherited || run->ordered_ms || run->started_ms;
 }
 
-/* Of an inherited run nothing is known from before the takeover. */
+/* A run that a predecessor placed was not ordered after the takeover. */
 static int64_t
-run_age_ms (const struct hk_coord *c, const struct hk_run *run, int64_t now)
+run_start_ms (const struct hk_coord *c, const struct hk_run *run)
 {
   int64_t start = run->started_ms ? run->started_ms : run->ordered_ms;
 
-  if (start == 0)
-    return -1;
-  return now - (run->inherited ? MIN (start, c->taken_over_ms) : start);
+  return run->inherited && start ? MIN (start, c->taken_over_ms) : start;
 }
 
-/* Records that the endpoint of an instance has crashed under @runs, which have
-   not been ended yet. */
-void
-coord_crash_apply (struct hk_coord *c, const struct hk_instance *in,
-                   const GPtrArray *runs, const char *why, int64_t now)
+static int64_t
+run_age_ms (const struct hk_coord *c, const struct hk_run *run, int64_t now)
+{
+  int64_t start = run_start_ms (c, run);
+
+  return start ? now - start : HK_CRASH_AGE_UNKNOWN;
+}
+
+/* Time for which a run is known to have lived. */
+static int64_t
+run_alive_ms (const struct hk_coord *c, const struct hk_run *run)
+{
+  return run->started_ms ? MAX (run->reported_ms - run_start_ms (c, run), 0)
+                         : 0;
+}
+
+static gboolean
+is_likely_cause (const struct hk_coord *c, const struct hk_run *run,
+                 int64_t now)
+{
+  return run->watch || run_age_ms (c, run, now) <= HK_CRASH_QUICK_MS;
+}
+
+static void
+log_crash (const struct hk_coord *c, const struct hk_instance *in,
+           const GPtrArray *runs, unsigned n_causes, const char *why,
+           int64_t now)
 {
   const struct hk_run *youngest = NULL;
 
@@ -39,8 +60,117 @@
     return;
   hk_metric_get ("hyssopkeel_endpoint_crashes_total", "")->value++;
   hk_log (HK_LOG_WARN, "crash", in->name, youngest->task->step->job->spec.id,
-          "event=endpoint_crashed why=\"%s\" runs=%u step=%u index=%u run=%u "
-          "age_ms=%" G_GINT64_FORMAT,
-          why, runs->len, youngest->task->step->index, youngest->task->index,
-          youngest->number, run_age_ms (c, youngest, now));
+          "event=endpoint_crashed why=\"%s\" runs=%u causes=%u step=%u "
+          "index=%u run=%u age_ms=%" G_GINT64_FORMAT " crashes=%u",
+          why, runs->len, n_causes, youngest->task->step->index,
+          youngest->task->index, youngest->number,
+          run_age_ms (c, youngest, now), youngest->task->crash.crashes);
+}
+
+static void
+task_give_up (const struct hk_instance *in, struct hk_run *run, gboolean alone,
+              int64_t now)
+{
+  struct hk_engine_task *task = run->task;
+
+  hk_metric_get ("hyssopkeel_tasks_given_up_total", "")->value++;
+  hk_log (HK_LOG_ERROR, "crash", in->name, task->step->job->spec.id,
+          "event=task_given_up step=%u index=%u run=%u crashes=%u alone=%d "
+          "why=\"endpoints crash under it; its job fails\"",
+          task->step->index, task->index, run->number, task->crash.crashes,
+          alone);
+  hk_engine_task_give_up (task, now, coord_wall_ms ());
+}
+
+/* A speculative attempt may still run elsewhere. */
+static void
+task_watch (struct hk_engine_task *task)
+{
+  for (int r = 0; r < HK_RUNS_PER_TASK; r++)
+    if (task->runs[r])
+      hk_engine_run_watch (task->runs[r], hk_crash_watch_of (&task->crash));
+}
+
+/* Records that the endpoint of an instance has crashed under @runs, which have
+   not been ended yet. Their tasks may be given up. */
+void
+coord_crash_apply (struct hk_coord *c, const struct hk_instance *in,
+                   const GPtrArray *runs, const char *why, int64_t now)
+{
+  g_autoptr (GPtrArray) counted = g_ptr_array_new ();
+  unsigned n_causes = 0;
+
+  for (guint i = 0; i < runs->len; i++)
+    {
+      struct hk_run *run = runs->pdata[i];
+
+      if (!was_ordered (run) || !hk_engine_job_active (run->task->step->job)
+          || !hk_crash_count (&run->task->crash, run_age_ms (c, run, now),
+                              run_alive_ms (c, run)))
+        continue;
+      g_ptr_array_add (counted, run);
+      if (is_likely_cause (c, run, now))
+        n_causes++;
+    }
+  log_crash (c, in, runs, n_causes, why, now);
+  for (guint i = 0; i < counted->len; i++)
+    {
+      struct hk_run *run = counted->pdata[i];
+      gboolean alone = run->watch == HK_CRASH_EXCLUSIVE && n_causes == 1;
+
+      if (!hk_engine_job_active (run->task->step->job))
+        continue;
+      if (hk_crash_gives_up (&run->task->crash, alone))
+        task_give_up (in, run, alone, now);
+      else
+        task_watch (run->task);
+    }
+}
+
+static void
+clear_if_harmless (const struct hk_coord *c, const struct hk_run *run)
+{
+  struct hk_engine_task *task = run->task;
+  struct hk_crash_history *h = &task->crash;
+  int64_t alive = run_alive_ms (c, run);
+
+  if (alive < hk_crash_probation_ms (h->age_ms))
+    return;
+  hk_log (HK_LOG_INFO, "crash", run->instance->name, task->step->job->spec.id,
+          "event=suspect_cleared step=%u index=%u run=%u crashes=%u "
+          "alive_ms=%" G_GINT64_FORMAT,
+          task->step->index, task->index, run->number, h->crashes, alive);
+  h->crashes = 0;
+  h->survived_ms = MAX (h->survived_ms, alive);
+  task_watch (task);
+  hk_engine_job_mark_dirty (task->step->job);
+}
+
+/* Clears the suspects whose runs outlived the age at which their endpoints
+   crashed. */
+void
+coord_crash_check (struct hk_coord *c)
+{
+  struct hk_instance *in;
+  struct hk_run *run;
+
+  if (c->engine.n_watched == 0)
+    return;
+  TAILQ_FOREACH (in, &c->engine.instance_list, next)
+  if (in->n_watched > 0)
+    LIST_FOREACH (run, &in->runs, link)
+  if (run->watch)
+    clear_if_harmless (c, run);
+}
+
+/* Watches the runs of suspects that a predecessor placed. */
+void
+coord_crash_adopt (struct hk_coord *c)
+{
+  struct hk_instance *in;
+  struct hk_run *run;
+
+  TAILQ_FOREACH (in, &c->engine.instance_list, next)
+  LIST_FOREACH (run, &in->runs, link)
+  hk_engine_run_watch (run, hk_crash_watch_of (&run->task->crash));
 }
--- /dev/null
+++ b/src/coord/coord_crash_place.c
@@ -0,0 +1,149 @@
+/* Placement of suspects, that is of tasks that may have crashed endpoints.
+   Each runs apart from other suspects, so that the next crash tells the cause
+   from a bystander, and on a part of the instances, so that several causes do
+   not crash all of them at once. */
+#include "coord.h"
+
+/* An instance is kept free of other starts for this long before an exclusive
+   run; also covers the commit of that run. */
+#define RESERVE_MS (HK_CRASH_QUICK_MS + 300)
+/* Time between two reservations of an instance, in which others may start. */
+#define OPEN_MS 500
+/* Share of the instances that suspects may take at a time. */
+#define SUSPECT_INSTANCES_DIVISOR 2
+/* A suspect that has waited for this long may take one more. */
+#define SUSPECT_WAIT_MAX_MS 5000
+
+static int64_t
+last_start_ms (const struct hk_instance *in, int64_t now)
+{
+  const struct hk_run *run;
+  int64_t last = 0;
+
+  LIST_FOREACH (run, &in->runs, link)
+  last = MAX (last, run->started_ms ? run->started_ms : now);
+  return last;
+}
+
+/* Suspects cannot be kept apart on the only instance; there they start
+   together, and after another crash one by one. */
+static gboolean
+is_only_instance (const struct hk_engine_task *task)
+{
+  return g_hash_table_size (task->step->job->engine->instances) == 1;
+}
+
+static gboolean
+is_taken (const struct hk_instance *in, int64_t now)
+{
+  return in->n_watched > 0 || in->reserved_until_ms > now;
+}
+
+gboolean
+coord_crash_admits (const struct hk_instance *in,
+                    const struct hk_engine_task *task, int64_t now)
+{
+  switch (hk_crash_watch_of (&task->crash))
+    {
+    case HK_CRASH_EXCLUSIVE:
+      return in->n_watched == 0
+             && now - last_start_ms (in, now) > HK_CRASH_QUICK_MS;
+    case HK_CRASH_SHARED:
+      return !is_taken (in, now)
+             || (in->n_exclusive == 0 && is_only_instance (task));
+    case HK_CRASH_UNWATCHED:
+    default:
+      return in->n_exclusive == 0 && in->reserved_until_ms <= now;
+    }
+}
+
+static gboolean
+may_take_instance (struct coord_pass *p, const struct hk_engine_task *task)
+{
+  const struct hk_instance *in;
+  unsigned n = 0;
+  unsigned n_taken = 0;
+  unsigned n_more = p->now - task->ready_ms > SUSPECT_WAIT_MAX_MS;
+
+  if (is_only_instance (task))
+    return TRUE;
+  TAILQ_FOREACH (in, &p->c->engine.instance_list, next)
+  {
+    if (!coord_accepts_runs (in, task->step, p->now))
+      continue;
+    n++;
+    n_taken += is_taken (in, p->now);
+  }
+  return n_taken < MAX (n / SUSPECT_INSTANCES_DIVISOR, 1) + n_more;
+}
+
+static gboolean
+has_capacity (const struct hk_instance *in, const hk_step_spec *spec)
+{
+  int64_t cpu_free = spec->flags & HK_STEP_BEST_EFFORT
+                         ? coord_best_effort_free_milli (in)
+                         : (int64_t)in->cpu_milli - in->used_cpu_milli;
+
+  return cpu_free >= (int64_t)spec->cpu_milli
+         && in->memory_mb >= in->used_memory_mb + spec->memory_mb
+         && in->accelerators >= in->used_accelerators + spec->accelerators;
+}
+
+/* Keeps the instance on which the last start is longest ago free of others. */
+static void
+instance_reserve (struct coord_pass *p, struct hk_engine_task *task)
+{
+  struct hk_instance *best = NULL;
+  struct hk_instance *in;
+  int64_t best_start = 0;
+
+  TAILQ_FOREACH (in, &p->c->engine.instance_list, next)
+  {
+    int64_t start;
+
+    if (is_taken (in, p->now) || in->reservable_from_ms > p->now
+        || !coord_accepts_runs (in, task->step, p->now)
+        || !has_capacity (in, task->step->spec))
+      continue;
+    start = last_start_ms (in, p->now);
+    if (best && start >= best_start)
+      continue;
+    best = in;
+    best_start = start;
+  }
+  if (!best)
+    return;
+  best->reserved_until_ms = p->now + RESERVE_MS;
+  best->reservable_from_ms = best->reserved_until_ms + OPEN_MS;
+  task->reserved_until_ms = best->reserved_until_ms;
+}
+
+/* Places a suspect, or reserves an instance for it. Returns whether it was
+   placed. */
+gboolean
+coord_crash_place (struct coord_pass *p, struct hk_engine_task *task)
+{
+  enum hk_crash_watch watch = hk_crash_watch_of (&task->crash);
+  gboolean reserved = task->reserved_until_ms > p->now;
+  struct hk_run *run;
+
+  /* A conviction ends the job, so its other suspects wait for it. */
+  if (watch == HK_CRASH_EXCLUSIVE && task->step->job->n_watched > 0)
+    return FALSE;
+  if (!reserved && !may_take_instance (p, task))
+    return FALSE;
+  coord_pass_begin_step (p, task);
+  if (!coord_pass_place (p, task))
+    {
+      if (watch == HK_CRASH_EXCLUSIVE && !reserved)
+        instance_reserve (p, task);
+      return FALSE;
+    }
+  run = hk_engine_run_find (task, task->last_run);
+  hk_engine_run_watch (run, watch);
+  run->instance->reserved_until_ms = 0;
+  if (watch == HK_CRASH_EXCLUSIVE)
+    run->instance->reservable_from_ms
+        = p->now + hk_crash_probation_ms (task->crash.age_ms) + OPEN_MS;
+  return TRUE;
+}
--- a/src/coord/coord_load.c
+++ b/src/coord/coord_load.c
@@ -82,6 +82,7 @@
   g_clear_pointer (&c->loaded_specs, g_hash_table_unref);
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
   in->inherited_until_ms = coord_predecessors_grant_until (c, now);
+  coord_crash_adopt (c);
   c->state = COORD_LEADING;
   hk_log (HK_LOG_INFO, "coord", NULL, NULL,
           "event=recovered term=%" G_GUINT64_FORMAT
--- a/src/coord/coord_schedule.c
+++ b/src/coord/coord_schedule.c
@@ -25,7 +25,8 @@
   return task->state == HK_TASK_WAITING && !task->runs[0] && !task->runs[1];
 }
 
-/* Returns FALSE if a task fitted nowhere. */
+/* Returns FALSE if a task fitted nowhere, suspects aside: these also wait for
+   each other. */
 static gboolean
 place_step (struct coord_pass *p, struct hk_engine_step *step)
 {
@@ -35,7 +36,7 @@
     {
       struct hk_engine_task *task = &step->tasks[t];
 
-      if (!is_waiting (task))
+      if (!is_waiting (task) || hk_crash_watch_of (&task->crash))
         continue;
       if (!begun)
         coord_pass_begin_step (p, task);
@@ -47,6 +48,31 @@
   return TRUE;
 }
 
+static void
+place_suspects (struct coord_pass *p, struct hk_engine_step *step)
+{
+  gboolean waits[HK_CRASH_EXCLUSIVE + 1] = { TRUE, FALSE, FALSE };
+
+  for (unsigned t = 0; t < step->spec->count; t++)
+    {
+      struct hk_engine_task *task = &step->tasks[t];
+      enum hk_crash_watch watch = hk_crash_watch_of (&task->crash);
+
+      if (waits[watch] || !is_waiting (task))
+        continue;
+      waits[watch] = !coord_crash_place (p, task);
+      p->n_placed += !waits[watch];
+    }
+}
+
+static void
+schedule_suspects (struct coord_pass *p, struct hk_engine_job *job)
+{
+  for (unsigned i = 0; i < job->spec.steps.steps_len; i++)
+    if (job->steps[i].waiting > 0 && hk_engine_step_ready (&job->steps[i]))
+      place_suspects (p, &job->steps[i]);
+}
+
 static void
 schedule_best_effort (struct coord_pass *p, struct hk_engine_step *step)
 {
@@ -196,6 +222,14 @@
   qsort (list->data, list->len, sizeof (struct candidate), compare_order_keys);
   rank_best_effort (c, list);
   qsort (list->data, list->len, sizeof (struct candidate), compare_order_keys);
+  for (guint i = 0; i < list->len; i++)
+    {
+      const struct candidate *cand
+          = &g_array_index (list, struct candidate, i);
+
+      if (cand->waiting)
+        schedule_suspects (&pass, cand->job);
+    }
   for (guint i = 0; i < list->len; i++)
     {
       const struct candidate *cand
--- a/src/coord/coord_stragglers.c
+++ b/src/coord/coord_stragglers.c
@@ -62,7 +62,8 @@
     }
   if (spec->flags & HK_STEP_SPECULATIVE)
     {
-      if (single && (is_lagging (c, run, now) || is_stalled (c, run, now))
+      if (single && !hk_crash_watch_of (&task->crash)
+          && (is_lagging (c, run, now) || is_stalled (c, run, now))
           && coord_place_speculative (c, task, now))
         hk_log (HK_LOG_INFO, "straggle", run->instance->name,
                 task->step->job->spec.id,
--- a/src/engine/engine.c
+++ b/src/engine/engine.c
@@ -73,6 +73,7 @@
 {
   struct hk_engine_task *task = run->task;
 
+  hk_engine_run_watch (run, HK_CRASH_UNWATCHED);
   account_resources (run, -1);
   for (int i = 0; i < HK_RUNS_PER_TASK; i++)
     if (task->runs[i] == run)
@@ -382,9 +383,19 @@
   job_end (job, HK_JOB_STATE_FAILED, now_ms, wall_ms);
 }
 
+void
+hk_engine_task_give_up (struct hk_engine_task *task, int64_t now_ms,
+                        int64_t wall_ms)
+{
+  if (task->state == HK_TASK_WAITING)
+    task->step->waiting--;
+  task->state = HK_TASK_FAILED;
+  job_end (task->step->job, HK_JOB_STATE_FAILED, now_ms, wall_ms);
+}
+
 /* Only HK_END_FAILED costs an attempt: all other ends are caused by the
-   instance or by an order of the coordinator. Service tasks start again
-   however they end. */
+   instance, by an order of the coordinator, or count as crashes (see
+   crash_blame.h). Service tasks start again however they end. */
 void
 hk_engine_run_end (struct hk_run *run, hk_end_how how, const char *checkpoint,
                    int64_t now_ms, int64_t wall_ms)
@@ -394,6 +405,8 @@
   gboolean is_service = (task->step->spec->flags & HK_STEP_SERVICE) != 0;
 
   run_free (run);
+  if (how == HK_END_DONE || how == HK_END_FAILED)
+    task->crash.crashes = 0;
   if (checkpoint && *checkpoint && task->state != HK_TASK_DONE)
     {
       g_free (task->checkpoint);
--- a/src/engine/engine_priv.h
+++ b/src/engine/engine_priv.h
@@ -11,6 +11,14 @@
 struct hk_run *engine_run_new (struct hk_engine_task *task,
                                struct hk_instance *in, unsigned number);
 
+/* Fills in the tasks of the job that endpoints crashed under; @out has room
+   for all tasks. Returns their number. */
+unsigned engine_crashes_collect (const struct hk_engine_job *job,
+                                 hk_task_crashes *out);
+
+void engine_crashes_load (struct hk_engine_job *job,
+                          const hk_job_crashes *list);
+
 /* Deep copy, to be released with xdr_free(). */
 void engine_copy_spec (hk_job_spec *out, const hk_job_spec *spec);
 
--- a/src/engine/engine_record.c
+++ b/src/engine/engine_record.c
@@ -26,6 +26,33 @@
   return HK_OK;
 }
 
+/* A progress record: @crashes follows @progress unless it is empty. @len is
+   the length of a record that is decoded. */
+struct progress_record
+{
+  hk_job_progress progress;
+  hk_job_crashes crashes;
+  size_t len;
+};
+
+static bool_t
+xdr_progress_record (XDR *xdr, struct progress_record *r)
+{
+  if (!xdr_hk_job_progress (xdr, &r->progress))
+    return FALSE;
+  if (xdr->x_op == XDR_DECODE ? xdr_getpos (xdr) >= r->len
+                              : r->crashes.tasks.tasks_len == 0)
+    return TRUE;
+  return xdr_hk_job_crashes (xdr, &r->crashes);
+}
+
+static void
+progress_record_clear (struct progress_record *r)
+{
+  xdr_free ((xdrproc_t)xdr_hk_job_progress, (char *)&r->progress);
+  xdr_free ((xdrproc_t)xdr_hk_job_crashes, (char *)&r->crashes);
+}
+
 static int
 decode (void *out, xdrproc_t proc, const char *data, size_t len)
 {
@@ -99,6 +126,18 @@
     out->spare_run = task->last_run;
 }
 
+static hk_task_progress *
+encode_tasks (const struct hk_engine_job *job, GPtrArray *places)
+{
+  hk_task_progress *tasks = g_new0 (hk_task_progress, job->n_tasks);
+  unsigned n = 0;
+
+  for (unsigned i = 0; i < job->spec.steps.steps_len; i++)
+    for (unsigned t = 0; t < job->steps[i].spec->count; t++)
+      encode_task (&tasks[n++], &job->steps[i].tasks[t], places);
+  return tasks;
+}
+
 int
 hk_engine_encode_progress (char **out, size_t *len,
                            const struct hk_engine_job *job)
@@ -106,28 +145,29 @@
   g_autoptr (GPtrArray) places = g_ptr_array_new_with_free_func (g_free);
   g_autofree hk_task_progress *tasks = NULL;
   g_autofree hk_place_name *names = NULL;
-  hk_job_progress p = { .state = job->state,
+  g_autofree hk_task_crashes *crashes = NULL;
+  struct progress_record r
+      = { .progress = { .state = job->state,
                         .accepted_ms = job->accepted_wall_ms,
                         .ended_ms = job->ended_wall_ms,
-                        .queue = job->spec.queue };
-  unsigned n = 0;
+                        .queue = job->spec.queue } };
 
   /* An ended job needs its tasks only as long as runs remain to be stopped. */
   if (hk_engine_job_active (job) || job->n_runs > 0)
     {
-      tasks = g_new0 (hk_task_progress, job->n_tasks);
-      for (unsigned i = 0; i < job->spec.steps.steps_len; i++)
-        for (unsigned t = 0; t < job->steps[i].spec->count; t++)
-          encode_task (&tasks[n++], &job->steps[i].tasks[t], places);
+      tasks = encode_tasks (job, places);
+      r.progress.tasks.tasks_len = job->n_tasks;
+      r.progress.tasks.tasks_val = tasks;
+      crashes = g_new0 (hk_task_crashes, job->n_tasks);
+      r.crashes.tasks.tasks_len = engine_crashes_collect (job, crashes);
+      r.crashes.tasks.tasks_val = crashes;
     }
   names = g_new0 (hk_place_name, places->len);
   for (guint i = 0; i < places->len; i++)
     names[i].life = places->pdata[i];
-  p.places.places_len = places->len;
-  p.places.places_val = names;
-  p.tasks.tasks_len = n;
-  p.tasks.tasks_val = tasks;
-  return encode (out, len, (xdrproc_t)xdr_hk_job_progress, &p);
+  r.progress.places.places_len = places->len;
+  r.progress.places.places_val = names;
+  return encode (out, len, (xdrproc_t)xdr_progress_record, &r);
 }
 
 static void
@@ -200,15 +240,16 @@
                     int64_t now_ms, int64_t wall_ms, struct hk_error *err)
 {
   hk_job_spec decoded = { 0 };
-  hk_job_progress p = { 0 };
+  struct progress_record r = { .len = progress_len };
+  const hk_job_progress *p = &r.progress;
   struct hk_engine_job *job = NULL;
-  int rc = decode (&p, (xdrproc_t)xdr_hk_job_progress, progress, progress_len);
+  int rc = decode (&r, (xdrproc_t)xdr_progress_record, progress, progress_len);
 
   if (rc == HK_OK && spec)
     rc = decode (&decoded, (xdrproc_t)xdr_hk_job_spec, spec, spec_len);
-  if (rc < 0 || (!spec && p.state < HK_JOB_STATE_COMPLETED))
+  if (rc < 0 || (!spec && p->state < HK_JOB_STATE_COMPLETED))
     {
-      xdr_free ((xdrproc_t)xdr_hk_job_progress, (char *)&p);
+      progress_record_clear (&r);
       xdr_free ((xdrproc_t)xdr_hk_job_spec, (char *)&decoded);
       return hk_error_set (err, HK_ERR_PROTOCOL, "engine.load", id,
                            "record of job %s does not parse", id);
@@ -217,22 +258,23 @@
     {
       /* Only the id, the queue and the state of an ended job are stored. */
       decoded.id = strdup (id);
-      decoded.queue = strdup (p.queue);
+      decoded.queue = strdup (p->queue);
       decoded.pool = strdup ("");
     }
   job = engine_job_new (e, &decoded);
-  job->state = job->visible_state = (enum hk_job_state)p.state;
+  job->state = job->visible_state = (enum hk_job_state)p->state;
   job->version = job->committed_version = 1;
   job->spec_stored = spec != NULL;
-  job->accepted_wall_ms = p.accepted_ms;
-  job->ended_wall_ms = p.ended_ms;
-  job->accepted_ms = now_ms - MAX (wall_ms - p.accepted_ms, 0);
-  job->ended_ms = now_ms - MAX (wall_ms - p.ended_ms, 0);
-  load_tasks (job, &p, now_ms);
+  job->accepted_wall_ms = p->accepted_ms;
+  job->ended_wall_ms = p->ended_ms;
+  job->accepted_ms = now_ms - MAX (wall_ms - p->accepted_ms, 0);
+  job->ended_ms = now_ms - MAX (wall_ms - p->ended_ms, 0);
+  load_tasks (job, p, now_ms);
+  engine_crashes_load (job, &r.crashes);
   if (hk_engine_job_active (job))
     TAILQ_INSERT_TAIL (&e->active, job, link);
   else
     TAILQ_INSERT_TAIL (&e->ended, job, link);
-  xdr_free ((xdrproc_t)xdr_hk_job_progress, (char *)&p);
+  progress_record_clear (&r);
   return HK_OK;
 }
--- /dev/null
+++ b/src/policy/crash_blame.c
@@ -0,0 +1,58 @@
+/* Which tasks may have caused the crash of an endpoint, and when the evidence
+   suffices to give one up. A task that crashes its endpoints does so at about
+   the same age in each run, while a bystander outlives that age once it runs
+   apart from the cause. */
+#include "hyssopkeel/crash_blame.h"
+
+/* The ages at crashes of one cause differ by less than AGE_TOLERANCE_MS and
+   1 / AGE_DIVISOR: the time until a crash is noticed varies, and so does the
+   speed of a run. */
+#define AGE_TOLERANCE_MS 1000
+#define AGE_DIVISOR 4
+/* Longest time until a crash is noticed, and the age of a report. */
+#define PROBATION_MARGIN_MS 750
+/* Two crashes by chance must not convict a task. */
+#define CRASHES_CONCLUSIVE 3
+#define CRASHES_MAX 5
+
+int64_t
+hk_crash_probation_ms (int64_t age_ms)
+{
+  return age_ms + age_ms / AGE_DIVISOR + PROBATION_MARGIN_MS;
+}
+
+gboolean
+hk_crash_count (struct hk_crash_history *h, int64_t age_ms, int64_t alive_ms)
+{
+  gboolean known = age_ms != HK_CRASH_AGE_UNKNOWN;
+  gboolean counts = !known || h->survived_ms < hk_crash_probation_ms (age_ms);
+
+  h->survived_ms = MAX (h->survived_ms, alive_ms);
+  if (!counts)
+    return FALSE;
+  if (!known)
+    age_ms = h->crashes > 0 ? h->age_ms : HK_CRASH_QUICK_MS + 1;
+  if (ABS (age_ms - h->age_ms) > AGE_TOLERANCE_MS + h->age_ms / AGE_DIVISOR)
+    h->crashes = 0;
+  h->age_ms = h->crashes > 0 ? MIN (h->age_ms, age_ms) : age_ms;
+  h->crashes++;
+  return TRUE;
+}
+
+/* Older runs seldom cause a crash and take long to clear, so they are
+   separated only before they might exceed the limit. */
+enum hk_crash_watch
+hk_crash_watch_of (const struct hk_crash_history *h)
+{
+  if (h->crashes > 0 && h->age_ms > HK_CRASH_QUICK_MS)
+    return h->crashes < CRASHES_CONCLUSIVE ? HK_CRASH_UNWATCHED
+                                           : HK_CRASH_EXCLUSIVE;
+  return (enum hk_crash_watch)MIN (h->crashes, HK_CRASH_EXCLUSIVE);
+}
+
+gboolean
+hk_crash_gives_up (const struct hk_crash_history *h, gboolean alone)
+{
+  return h->crashes >= CRASHES_MAX
+         || (alone && h->crashes >= CRASHES_CONCLUSIVE);
+}
--- a/src/policy/job_placement.c
+++ b/src/policy/job_placement.c
@@ -10,6 +10,8 @@
 #define RUN_TIME_RATIO_MAX 2.0
 /* Keeps the score of such an instance below that of every other. */
 #define UNRELIABLE_PENALTY 1e6
+/* Likewise of one on which a run may crash the endpoint. */
+#define SUSPECT_PENALTY 1e3
 /* A best-effort task stays queued rather than raise what such tasks take above
    this share of what they may take: it, or others, would be throttled. The
    rest is a reserve, as the load ahead is known with errors. */
@@ -81,6 +83,8 @@
   if (v->failure_rate > FAILURE_RATE_MAX
       || v->run_time_ratio > RUN_TIME_RATIO_MAX)
     score -= UNRELIABLE_PENALTY;
+  if (v->has_suspect)
+    score -= SUSPECT_PENALTY;
   return score - v->failure_rate;
 }
 
--- a/src/rpc/hk_job.x
+++ b/src/rpc/hk_job.x
@@ -76,6 +76,20 @@
   hk_task_progress tasks<HK_JOB_TASKS_MAX>;
 };
 
+/* A task that endpoints have crashed under; see struct hk_crash_history. */
+struct hk_task_crashes {
+  unsigned step;
+  unsigned index;
+  unsigned crashes;
+  unsigned age_ms;
+};
+
+/* Follows hk_job_progress in its record, if it is not empty. Builds that do
+   not know it ignore it. */
+struct hk_job_crashes {
+  hk_task_crashes tasks<HK_JOB_TASKS_MAX>;
+};
+
 struct hk_task_id {
   string job<HK_JOB_NAME_MAX>;
   unsigned occurrence;
--- a/src/rpc/hk_job_xdr.c
+++ b/src/rpc/hk_job_xdr.c
@@ -358,6 +358,72 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hk_task_crashes (XDR *xdrs, hk_task_crashes *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->index))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->crashes))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->step);
+			IXDR_PUT_U_LONG(buf, objp->index);
+			IXDR_PUT_U_LONG(buf, objp->crashes);
+			IXDR_PUT_U_LONG(buf, objp->age_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->step))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->index))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->crashes))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+		} else {
+			objp->step = IXDR_GET_U_LONG(buf);
+			objp->index = IXDR_GET_U_LONG(buf);
+			objp->crashes = IXDR_GET_U_LONG(buf);
+			objp->age_ms = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->crashes))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hk_job_crashes (XDR *xdrs, hk_job_crashes *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, HK_JOB_TASKS_MAX,
+		sizeof (hk_task_crashes), (xdrproc_t) xdr_hk_task_crashes))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hk_task_id (XDR *xdrs, hk_task_id *objp)
 {
--- a/tests/coord/test_crash.c
+++ b/tests/coord/test_crash.c
@@ -241,6 +241,97 @@
   site_finish (&s);
 }
 
+/* The cause dies at about the same age in each run. */
+static void
+causes_are_told_from_bystanders (void)
+{
+  struct hk_crash_history cause = { 0 };
+  struct hk_crash_history bystander = { 0 };
+  struct hk_crash_history unlucky = { 0 };
+  struct hk_crash_history slow = { 0 };
+
+  g_assert_true (hk_crash_count (&cause, 210, 0));
+  g_assert_cmpint (hk_crash_watch_of (&cause), ==, HK_CRASH_SHARED);
+  g_assert_true (hk_crash_count (&cause, 400, 190));
+  g_assert_cmpint (hk_crash_watch_of (&cause), ==, HK_CRASH_EXCLUSIVE);
+  g_assert_false (hk_crash_gives_up (&cause, TRUE));
+  g_assert_true (hk_crash_count (&cause, HK_CRASH_AGE_UNKNOWN, 0));
+  g_assert_true (hk_crash_gives_up (&cause, TRUE));
+  g_assert_false (hk_crash_gives_up (&cause, FALSE));
+  hk_crash_count (&cause, 210, 0);
+  hk_crash_count (&cause, 210, 0);
+  g_assert_true (hk_crash_gives_up (&cause, FALSE));
+
+  g_assert_true (hk_crash_count (&bystander, 19000, 18900));
+  g_assert_cmpint (hk_crash_watch_of (&bystander), ==, HK_CRASH_UNWATCHED);
+  g_assert_false (hk_crash_count (&bystander, 210, 0));
+  g_assert_true (hk_crash_count (&bystander, 60000, 59800));
+  g_assert_cmpuint (bystander.crashes, ==, 1);
+  for (unsigned i = 0; i < 8; i++)
+    hk_crash_count (&unlucky, i % 2 ? 5000 : 9000, 0);
+  g_assert_cmpuint (unlucky.crashes, ==, 1);
+
+  for (unsigned i = 0; i < 4; i++)
+    {
+      g_assert_cmpint (hk_crash_watch_of (&slow), ==,
+                       i < 3 ? HK_CRASH_UNWATCHED : HK_CRASH_EXCLUSIVE);
+      g_assert_true (hk_crash_count (&slow, 3000 + 50 * i, 2700));
+    }
+  g_assert_true (hk_crash_gives_up (&slow, TRUE));
+}
+
+/* Other builds write records without crashes, and read those with them. */
+static void
+records_with_crashes_extend_those_without (void)
+{
+  const unsigned counts[] = { 2, 1, 0 };
+  hk_job_spec *spec = test_job_spec_new ("a", counts, 0);
+  struct hk_engine from;
+  struct hk_engine to;
+  struct hk_engine_job *job;
+  g_autofree char *bytes = NULL;
+  g_autofree char *old = NULL;
+  g_autofree char *new = NULL;
+  size_t len = 0;
+  size_t old_len = 0;
+  size_t new_len = 0;
+  hk_job_progress progress = { 0 };
+  struct hk_error err;
+  XDR xdr;
+
+  hk_engine_init (&from);
+  hk_engine_init (&to);
+  job = hk_engine_submit (&from, spec, 100, 1000);
+  hk_engine_encode_spec (&bytes, &len, job);
+  hk_engine_encode_progress (&old, &old_len, job);
+  xdrmem_create (&xdr, old, (u_int)old_len, XDR_DECODE);
+  g_assert_true (xdr_hk_job_progress (&xdr, &progress));
+  g_assert_cmpuint (xdr_getpos (&xdr), ==, old_len);
+  job->steps[1].tasks[0].crash
+      = (struct hk_crash_history){ .crashes = 2, .age_ms = 210 };
+  hk_engine_encode_progress (&new, &new_len, job);
+  g_assert_cmpuint (new_len, >, old_len);
+  g_assert_cmpmem (new, old_len, old, old_len);
+  for (int with = 0; with < 2; with++)
+    {
+      g_assert_cmpint (
+          hk_engine_job_load (&to, "a", bytes, len, with ? new : old,
+                              with ? new_len : old_len, 100, 1000, &err),
+          ==, HK_OK);
+      job = hk_engine_job_find (&to, "a");
+      g_assert_cmpuint (job->steps[0].tasks[1].crash.crashes, ==, 0);
+      g_assert_cmpuint (job->steps[1].tasks[0].crash.crashes, ==,
+                        with ? 2 : 0);
+      g_assert_cmpint (job->steps[1].tasks[0].crash.age_ms, ==,
+                       with ? 210 : 0);
+      hk_engine_job_remove (job);
+    }
+  xdr_free ((xdrproc_t)xdr_hk_job_progress, (char *)&progress);
+  test_job_spec_free (spec);
+  hk_engine_finish (&from);
+  hk_engine_finish (&to);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -252,5 +343,7 @@
   ADD (steps_with_several_causes_are_given_up);
   ADD (crashes_are_counted_across_takeovers);
   ADD (two_crashes_by_chance_convict_no_task);
+  ADD (causes_are_told_from_bystanders);
+  ADD (records_with_crashes_extend_those_without);
   return g_test_run ();
 }
