--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -5,6 +5,8 @@
 /* The start order of a run that is missing from reports for this long is
    repeated. */
 #define RUN_MISSING_MS 2000
+/* An agent in touch reports at least three times in this time. */
+#define REPORT_GAP_MAX_MS 900
 
 /* Pause after a refused start, doubled each time up to the maximum. The cause
    may last until the next heartbeat of the endpoint. */
@@ -46,35 +48,38 @@
   return l;
 }
 
-/* Ends with HK_END_LOST the runs of incarnations that started before
-   @started_before_ms. Runs listed in the report of @listed_ms are excepted:
-   the agent ensures that no start order for them takes effect late. */
-static void
-runs_end_lost (struct hk_coord *c, struct hk_instance *in,
-               int64_t started_before_ms, int64_t listed_ms, const char *why,
-               int64_t now)
+/* The runs of incarnations that started before @started_before_ms, but for
+   those listed in the report of @listed_ms: the agent ensures that no start
+   order for them takes effect late. */
+static GPtrArray *
+runs_started_before (const struct hk_instance *in, int64_t started_before_ms,
+                     int64_t listed_ms)
 {
+  GPtrArray *runs = g_ptr_array_new ();
   struct hk_run *run;
-  struct hk_run *next;
-  unsigned n_lost = 0;
 
-  for (run = LIST_FIRST (&in->runs); run; run = next)
-    {
-      next = LIST_NEXT (run, link);
-      if (run->instance_start_time_ms >= started_before_ms
-          || run->reported_ms == listed_ms)
-        continue;
-      n_lost++;
-      hk_engine_run_end (run, HK_END_LOST, NULL, now, coord_wall_ms ());
-    }
-  if (n_lost > 0)
-    hk_log (HK_LOG_WARN, "sync", in->name, NULL,
-            "event=runs_terminated why=\"%s\" runs=%u "
-            "heard_ms_ago=%" G_GINT64_FORMAT " born=%" G_GINT64_FORMAT,
-            why, n_lost, in->last_report_ms ? now - in->last_report_ms : -1,
-            in->start_time_ms);
-  if (n_lost > 0)
-    coord_pass_schedule (c);
+  LIST_FOREACH (run, &in->runs, link)
+  if (run->instance_start_time_ms < started_before_ms
+      && run->reported_ms != listed_ms)
+    g_ptr_array_add (runs, run);
+  return runs;
+}
+
+static void
+runs_end_lost (struct hk_coord *c, const struct hk_instance *in,
+               const GPtrArray *runs, const char *why, int64_t now)
+{
+  if (runs->len == 0)
+    return;
+  hk_log (HK_LOG_WARN, "sync", in->name, NULL,
+          "event=runs_terminated why=\"%s\" runs=%u "
+          "heard_ms_ago=%" G_GINT64_FORMAT " born=%" G_GINT64_FORMAT,
+          why, runs->len, in->last_report_ms ? now - in->last_report_ms : -1,
+          in->start_time_ms);
+  for (guint i = 0; i < runs->len; i++)
+    hk_engine_run_end (runs->pdata[i], HK_END_LOST, NULL, now,
+                       coord_wall_ms ());
+  coord_pass_schedule (c);
 }
 
 static char *
@@ -290,11 +295,31 @@
   g_array_append_val (l->ends, end);
 }
 
+/* The agent reports all runs that a crash ended at once. */
+static void
+crash_report_apply (struct coord_link *l, const hk_sync_args *args,
+                    int64_t now)
+{
+  g_autoptr (GPtrArray) lost = g_ptr_array_new ();
+
+  for (u_int i = 0; i < args->ends.ends_len; i++)
+    {
+      const hk_run_end *e = &args->ends.ends_val[i];
+      struct hk_engine_task *task = hk_engine_task (&l->c->engine, &e->task);
+      struct hk_run *run = task ? hk_engine_run_find (task, e->run) : NULL;
+
+      if (e->how == HK_END_LOST && run && run->instance == l->in)
+        g_ptr_array_add (lost, run);
+    }
+  coord_crash_apply (l->c, l->in, lost, "reported by the agent", now);
+}
+
 static void
 report_apply (struct coord_link *l, const hk_sync_args *args, int64_t now)
 {
   g_autoptr (GArray) before = l->ends;
 
+  crash_report_apply (l, args, now);
   l->ends = g_array_new (FALSE, TRUE, sizeof (struct coord_end));
   g_array_set_clear_func (l->ends, end_clear);
   g_array_set_size (l->orphans, 0);
@@ -326,22 +351,38 @@
 }
 
 /* A start that no report confirmed may still reach the present incarnation if
-   its agent restarted as well and forgot it. Such a run is stopped there
-   before it counts as ended. */
+   its agent restarted as well and forgot it, or if a predecessor ordered it.
+   Such a run is stopped there before it counts as ended. Takes it off @runs.
+ */
 static void
-unconfirmed_runs_stop (struct hk_instance *in, int64_t now)
+unconfirmed_runs_stop (const struct hk_instance *in, GPtrArray *runs)
 {
-  struct hk_run *run;
-
-  LIST_FOREACH (run, &in->runs, link)
-  if (run->instance_start_time_ms < in->start_time_ms && run->may_execute
-      && !run->started_ms && run->reported_ms != now)
+  for (guint i = runs->len; i > 0; i--)
     {
+      struct hk_run *run = runs->pdata[i - 1];
+
+      if (!run->may_execute || run->started_ms)
+        continue;
       run->instance_start_time_ms = in->start_time_ms;
       hk_engine_run_stop (run);
+      g_ptr_array_remove_index_fast (runs, i - 1);
     }
 }
 
+/* Handles the runs of earlier incarnations of the endpoint. */
+static void
+restart_apply (struct hk_coord *c, struct hk_instance *in, gboolean in_touch,
+               int64_t now)
+{
+  g_autoptr (GPtrArray) runs
+      = runs_started_before (in, in->start_time_ms, now);
+
+  if (in_touch)
+    coord_crash_apply (c, in, runs, "endpoint restarted", now);
+  unconfirmed_runs_stop (in, runs);
+  runs_end_lost (c, in, runs, "endpoint restarted", now);
+}
+
 /* Ends unwanted runs that were placed here but never ordered: they need no
    stop order. Returns whether there were any. */
 static gboolean
@@ -395,6 +436,7 @@
   struct coord_link *l;
   int64_t now = hk_clock_ms ();
   gboolean pass_needed = args->ends.ends_len > 0;
+  gboolean in_touch;
 
   if (c->state != COORD_LEADING || args->term > c->term)
     {
@@ -409,6 +451,9 @@
       hk_rpc_reply (req, &refusal);
       return;
     }
+  /* An agent that was silent may have stopped together with its endpoint. */
+  in_touch
+      = !in->last_report_ms || now - in->last_report_ms < REPORT_GAP_MAX_MS;
   coord_link_reply (l, TRUE);
   l->parked = req;
   l->received_ms = now;
@@ -430,8 +475,7 @@
   pass_needed = instance_update (in, args, now) || pass_needed;
   interference_seed (c, args);
   report_apply (l, args, now);
-  unconfirmed_runs_stop (in, now);
-  runs_end_lost (c, in, in->start_time_ms, now, "endpoint restarted", now);
+  restart_apply (c, in, in_touch, now);
   coord_interference_learn (c, in, now);
   missing_runs_reorder (in, now);
   pass_needed = unordered_runs_end (in, now) || pass_needed;
@@ -441,6 +485,15 @@
     coord_pass_schedule (c);
 }
 
+static void
+runs_end_expired (struct hk_coord *c, const struct hk_instance *in,
+                  int64_t now)
+{
+  g_autoptr (GPtrArray) runs = runs_started_before (in, G_MAXINT64, -1);
+
+  runs_end_lost (c, in, runs, "leases expired", now);
+}
+
 /* Ends the runs of instances whose leases have certainly expired. */
 void
 coord_runs_expire (struct hk_coord *c, int64_t now)
@@ -454,6 +507,6 @@
     if (LIST_EMPTY (&in->runs)
         || now <= hk_authority_terminated_at (&c->authority, until))
       continue;
-    runs_end_lost (c, in, G_MAXINT64, -1, "leases expired", now);
+    runs_end_expired (c, in, now);
   }
 }
