Reserve instances for suspects by the rule of placement

An exclusive suspect that is best-effort could reserve an instance on which the headroom of service tasks keeps it from being placed, again and again, and closed it to others meanwhile. Reservations now ask the rule that places it. Found by reading.

--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -287,6 +287,11 @@
 void coord_pass_begin_step (struct coord_pass *p,
                             const struct hk_engine_task *task);
 gboolean coord_pass_place (struct coord_pass *p, struct hk_engine_task *task);
+/* Whether the task, of the step that was begun, fits an instance now, whatever
+   suspects run there. */
+gboolean coord_pass_fits (struct coord_pass *p,
+                          const struct hk_engine_task *task,
+                          struct hk_instance *in);
 gboolean coord_place_speculative (struct hk_coord *c,
                                   struct hk_engine_task *task, int64_t now);
 /* Whether an instance is in service for the tasks of a step. */
--- a/src/coord/coord_candidates.c
+++ b/src/coord/coord_candidates.c
@@ -263,6 +263,19 @@
   return TRUE;
 }
 
+gboolean
+coord_pass_fits (struct coord_pass *p, const struct hk_engine_task *task,
+                 struct hk_instance *in)
+{
+  struct hk_job_place_view v = { 0 };
+  double score;
+
+  if (has_run_on (task, in) || !coord_accepts_runs (in, task->step, p->now))
+    return FALSE;
+  view_instance (p->c, &v, in, task->step, p->now);
+  return hk_job_place_score (&v, &p->need, &score);
+}
+
 gboolean
 coord_place_speculative (struct hk_coord *c, struct hk_engine_task *task,
                          int64_t now)
--- a/src/coord/coord_crash_place.c
+++ b/src/coord/coord_crash_place.c
@@ -77,18 +77,6 @@
   return n_taken < MAX (n / SUSPECT_INSTANCES_DIVISOR, 1) + n_more;
 }
 
-static gboolean
-has_capacity (const struct hk_instance *in, const hk_step_spec *spec)
-{
-  int64_t cpu_free = spec->flags & HK_STEP_BEST_EFFORT
-                         ? coord_best_effort_free_milli (in)
-                         : (int64_t)in->cpu_milli - in->used_cpu_milli;
-
-  return cpu_free >= (int64_t)spec->cpu_milli
-         && in->memory_mb >= in->used_memory_mb + spec->memory_mb
-         && in->accelerators >= in->used_accelerators + spec->accelerators;
-}
-
 /* Keeps the instance on which the last start is longest ago free of others. */
 static void
 instance_reserve (struct coord_pass *p, struct hk_engine_task *task)
@@ -102,8 +90,7 @@
     int64_t start;
 
     if (is_taken (in, p->now) || in->reservable_from_ms > p->now
-        || !coord_accepts_runs (in, task->step, p->now)
-        || !has_capacity (in, task->step->spec))
+        || !coord_pass_fits (p, task, in))
       continue;
     start = last_start_ms (in, p->now);
     if (best && start >= best_start)
