Place suspects where the fewest runs are lost by a crash

A suspect was placed by the usual rule, which prefers instances with service tasks for short tasks, so the crash that convicted it took more with it than needed.

--- a/src/coord/coord_crash_place.c
+++ b/src/coord/coord_crash_place.c
@@ -4,6 +4,8 @@
    not crash all of them at once. */
 #include "coord.h"
 
+#include <math.h>
+
 /* An instance is kept free of other starts for this long before an exclusive
    run; also covers the commit of that run. */
 #define RESERVE_MS (HK_CRASH_QUICK_MS + 300)
@@ -77,26 +79,19 @@
   return n_taken < MAX (n / SUSPECT_INSTANCES_DIVISOR, 1) + n_more;
 }
 
-/* Keeps the instance on which the last start is longest ago free of others. */
+/* Keeps the instance with the fewest runs free of other starts. */
 static void
 instance_reserve (struct coord_pass *p, struct hk_engine_task *task)
 {
   struct hk_instance *best = NULL;
   struct hk_instance *in;
-  int64_t best_start = 0;
 
   TAILQ_FOREACH (in, &p->c->engine.instance_list, next)
   {
-    int64_t start;
-
-    if (is_taken (in, p->now) || in->reservable_from_ms > p->now
-        || !coord_pass_fits (p, task, in))
-      continue;
-    start = last_start_ms (in, p->now);
-    if (best && start >= best_start)
-      continue;
-    best = in;
-    best_start = start;
+    if (!is_taken (in, p->now) && in->reservable_from_ms <= p->now
+        && coord_pass_fits (p, task, in)
+        && (!best || in->n_runs < best->n_runs))
+      best = in;
   }
   if (!best)
     return;
@@ -105,6 +100,15 @@
   task->reserved_until_ms = best->reserved_until_ms;
 }
 
+/* Little is lost with an instance that runs little. */
+static void
+prefer_fewest_runs (struct coord_pass *p)
+{
+  for (unsigned i = 0; i < p->n; i++)
+    if (!isinf (p->scores[i]))
+      p->scores[i] = -(double)p->instances[i]->n_runs;
+}
+
 /* Places a suspect, or reserves an instance for it. Returns whether it was
    placed. */
 gboolean
@@ -120,6 +124,7 @@
   if (!reserved && !may_take_instance (p, task))
     return FALSE;
   coord_pass_begin_step (p, task);
+  prefer_fewest_runs (p);
   if (!coord_pass_place (p, task))
     {
       if (watch == HK_CRASH_EXCLUSIVE && !reserved)
