Soak: overlapping series, late orders, deadly tasks, resized capacity

Change: series of faults on related processes (agent restarted before its worker crashes, entries stopped in turn with config changes, a process killed while it stops). Requests to every entry without a break, over kept connections, each of which must get a whole response unless its entry was killed or frozen.

--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -4,10 +4,24 @@
 #include "store.h"
 #include "worker.h"
 
+/**
+ * struct soak_entry - an entry as clients see it.
+ * @address: "ip:port" for clients.
+ * @disrupted_ms: end of its last kill or freeze.
+ * @stopping: it received SIGTERM.
+ */
+struct soak_entry
+{
+  struct soak_clients *clients;
+  char *address;
+  int64_t disrupted_ms;
+  gboolean stopping;
+};
+
 /**
  * struct soak_clients - clients that submit, cancel and query jobs over
- * persistent connections.
- * @entries: addresses of the entries; each request goes to a random one.
+ * connections that they keep.
+ * @entries: struct soak_entry; each request goes to a random one.
  * @jobs: all jobs submitted.
  * @open_requests: requests without a response yet.
  * @submitted: jobs submitted; each is counted in one of the next three.
@@ -15,6 +29,15 @@
  * @refused: every attempt was refused.
  * @unknown: no attempt succeeded, but one may have been carried out.
  * @cancelled: accepted jobs whose cancel was acknowledged.
+ * @failed: jobs shown as failed.
+ * @innocent: those of @failed that have no task that crashes its workers.
+ * @responses: whole responses.
+ * @responses_stopping: those of an entry after SIGTERM.
+ * @cut_exempt: connections closed under a request around a kill or freeze,
+ *              just after it was sent, or not seen in time.
+ * @stalled_ms: when this process last fell behind, so that times measured
+ *              before are wrong.
+ * @submit_deadly: whether some jobs have such a task.
  */
 struct soak_clients
 {
@@ -23,6 +46,7 @@
   GPtrArray *entries;
   GPtrArray *jobs;
   GRand *rand;
+  GRand *job_rand;
   guint timer;
   unsigned open_requests;
   unsigned submitted;
@@ -30,6 +54,13 @@
   unsigned refused;
   unsigned unknown;
   unsigned cancelled;
+  unsigned failed;
+  unsigned innocent;
+  unsigned responses;
+  unsigned responses_stopping;
+  unsigned cut_exempt;
+  int64_t stalled_ms;
+  gboolean submit_deadly;
 };
 
 /** soak_clients_init() - prepare clients that know no entry yet. */
@@ -37,17 +68,19 @@
                         unsigned seed);
 
 /** soak_clients_add_entry() - add the address of an entry; copied. */
-void soak_clients_add_entry (struct soak_clients *c, const char *address);
+struct soak_entry *soak_clients_add_entry (struct soak_clients *c,
+                                           const char *address);
 
-/** soak_clients_start() - begin to submit jobs. */
-void soak_clients_start (struct soak_clients *c);
+/** soak_clients_start() - begin to submit a job each @interval_ms, and to use
+ * connections to every entry without a break. */
+void soak_clients_start (struct soak_clients *c, unsigned interval_ms);
 
-/** soak_clients_pause() - submit no new jobs; open requests and retries go
- * on. */
+/** soak_clients_pause() - submit and repeat nothing; open requests and
+ * retries go on. */
 void soak_clients_pause (struct soak_clients *c);
 
-/** soak_clients_check() - query every accepted job; each must be completed or
- * cancelled. */
+/** soak_clients_check() - query every accepted job; each must be completed,
+ * cancelled or failed with cause. */
 void soak_clients_check (struct soak_clients *c);
 
 /** soak_clients_finish() - abort open requests and release all memory held. */
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,75 @@
+#ifndef SOAK_H
+#define SOAK_H
+
+#include <sys/queue.h>
+
+#include "../scenario/relay.h"
+#include "clients.h"
+
+/**
+ * struct soak_node - a process under test.
+ * @entry: what clients see of it; NULL for an agent.
+ * @worker: the worker of an agent; NULL for an entry.
+ * @store_link: its link to the store.
+ * @worker_link: link to its worker; NULL for an entry, and for an agent that
+ *               connects directly.
+ * @pid: 0 while it does not run.
+ * @start_at_ms: when it is started again.
+ * @thaw_at_ms: when it continues; 0 unless it is frozen.
+ * @heal_at_ms: when its links are healed; 0 unless one is disturbed.
+ */
+struct soak_node
+{
+  char *name;
+  char *settings;
+  struct soak_entry *entry;
+  struct soak_worker *worker;
+  struct relay *store_link;
+  struct relay *worker_link;
+  GPid pid;
+  int64_t started_ms;
+  int64_t start_at_ms;
+  int64_t thaw_at_ms;
+  int64_t heal_at_ms;
+};
+
+/**
+ * struct soak - all processes, stand-ins and clients of a run.
+ * @nodes: entries first, then agents.
+ * @late: orders may be carried out late.
+ * @seed: every choice of a fault follows from it and the fault's number.
+ * @interval_ms: mean time between two faults.
+ * @actions: parts of a series of faults that are still to come.
+ */
+struct soak
+{
+  struct soak_store store;
+  struct soak_oracle oracle;
+  struct soak_clients clients;
+  struct soak_worker *workers;
+  struct soak_node *nodes;
+  unsigned n_entries;
+  unsigned n_agents;
+  gboolean late;
+  unsigned seed;
+  unsigned interval_ms;
+  GRand *rand;
+  char *dir;
+  TAILQ_HEAD (, soak_action) actions;
+  int64_t store_heal_at_ms;
+  unsigned config_version;
+  unsigned faults;
+};
+
+/** soak_config_put() - write the next version of the operator's config. */
+void soak_config_put (struct soak *s);
+
+/** soak_inject_fault() - begin a random fault or series of faults. */
+void soak_inject_fault (struct soak *s);
+
+/** soak_recover_due() - carry out the due parts of series, start and continue
+ * processes and heal links, the store and workers where it is due; with @all,
+ * recover everything at once. */
+void soak_recover_due (struct soak *s, gboolean all);
+
+#endif
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -10,10 +10,6 @@
 
 #define PORT_MIN 20000
 #define PORT_MAX 32000
-/* Each soak process has its own block of ports, since several run in
-   parallel. */
-#define PORTS_PER_PROCESS 100
-
 /* Events kept for watches to resume from. */
 #define HISTORY_EVENTS 4000
 
@@ -37,23 +33,12 @@
 char *
 soak_address (void)
 {
-  static int next;
-  gboolean bound = FALSE;
-
-  if (!next)
-    next = PORT_MIN
-           + (int)getpid () * PORTS_PER_PROCESS % (PORT_MAX - PORT_MIN);
-  while (!bound)
-    {
-      g_autoptr (GSocketAddress) addr
-          = g_inet_socket_address_new_from_string ("127.0.0.1", (guint)++next);
-      g_autoptr (GSocket) socket
-          = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-                          G_SOCKET_PROTOCOL_TCP, NULL);
+  static int next = PORT_MIN;
+  unsigned pid = (unsigned)getpid ();
 
-      bound = g_socket_bind (socket, addr, TRUE, NULL);
-    }
-  return g_strdup_printf ("127.0.0.1:%d", next);
+  g_assert_cmpint (next, <, PORT_MAX);
+  return g_strdup_printf ("127.%u.%u.%u:%d", 1 + (pid >> 16) % 254,
+                          (pid >> 8) % 256, pid % 256, next++);
 }
 
 static void
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -37,7 +37,8 @@
  * soak_address() - "ip:port" of the loopback for a process that restarts.
  *
  * The port is below the ephemeral range, so that no outgoing connection takes
- * it while the process is down, and is never returned twice.
+ * it while the process is down, and is never returned twice. Each soak has a
+ * loopback address of its own, since several run in parallel.
  *
  * Return: newly allocated text.
  */
--- a/tests/soak/worker.h
+++ b/tests/soak/worker.h
@@ -4,53 +4,35 @@
 #include <libsoup/soup.h>
 
 #include "hyssopkeel/json.h"
+#include "oracle.h"
 
-/** Tasks in the first step of each job; the second step has one task. */
-#define SOAK_FIRST_STEP_TASKS 3
+/** Specification of a job whose first task crashes each worker that starts
+ * it. */
+#define SOAK_SPEC_DEADLY "deadly"
 
-/**
- * struct soak_oracle - ground truth collected from all workers and clients.
- * @running: tasks that run now, by name, with the name of their worker.
- * @finished: tasks with a run that succeeded, by name.
- * @acked: tasks of @finished whose end was acknowledged to the worker.
- * @cancelled: jobs that may start nothing any more, by id: their cancel was
- *             acknowledged and its grace period is over.
- * @refused: jobs for which every attempt to submit was refused, by id.
- * @starts: runs started.
- * @violations: broken guarantees; each was printed.
- */
-struct soak_oracle
-{
-  GHashTable *running;
-  GHashTable *finished;
-  GHashTable *acked;
-  GHashTable *cancelled;
-  GHashTable *refused;
-  unsigned starts;
-  unsigned violations;
-};
-
-/** soak_oracle_init() - start with an empty record. */
-void soak_oracle_init (struct soak_oracle *o);
-
-/** soak_oracle_finish() - release all memory held. */
-void soak_oracle_finish (struct soak_oracle *o);
-
-/** soak_violation() - count and print a broken guarantee. */
-void soak_violation (struct soak_oracle *o, const char *format, ...)
-    G_GNUC_PRINTF (2, 3);
+/** Full capacity of a worker, in thousandths of a core. */
+#define SOAK_WORKER_CPU_MILLI 8000
 
 /**
  * struct soak_worker - simulated worker that speaks the platform's published
  * protocol.
- * @name: name it reports under.
+ * @name: name of its machine.
+ * @id: id that it reports; calls that name another one are refused.
  * @address: "ip:port" it listens on.
  * @reports: address that it reports to.
  * @lost_replies: number of coming requests, renewals excepted, that are
  *                carried out but get no reply.
- * @task_ms: run time of each task.
+ * @late_orders: number of coming starts and stops that get no reply and are
+ *               carried out seconds later, then perhaps by a later
+ *               incarnation.
+ * @cpu_milli: capacity.
+ * @cpu_limit_milli: capacity before it shrank; allowed until @limit_until_ms.
  * @runs: struct run, ended ones included.
- * @start_time_ms: time of the last start or crash; tells incarnations apart.
+ * @late: bodies of orders to carry out late.
+ * @waiting: renewals without a reply yet.
+ * @up_at_ms: when the next incarnation comes up; 0 while one is up.
+ * @start_time_ms: time of the last start; tells incarnations apart.
+ * @clock_offset_ms: added to the clock; differs by incarnation.
  * @lease_expiry_ms: time at which the lease of all runs expires.
  * @fencing_token: highest fencing token seen; requests with a lower one are
  *                 refused.
@@ -61,29 +43,50 @@
 struct soak_worker
 {
   char *name;
+  char *id;
   char *address;
   char *reports;
   int lost_replies;
-  int64_t task_ms;
+  int late_orders;
+  unsigned cpu_milli;
+  unsigned cpu_limit_milli;
+  int64_t limit_until_ms;
   struct soak_oracle *oracle;
+  GRand *rand;
   SoupServer *server;
   SoupSession *session;
   GPtrArray *runs;
+  GPtrArray *late;
+  GPtrArray *waiting;
+  int64_t up_at_ms;
   int64_t start_time_ms;
+  int64_t clock_offset_ms;
   int64_t lease_expiry_ms;
   int64_t fencing_token;
   int64_t acked_end;
   int64_t last_end;
   int64_t report_count;
+  int64_t next_report_ms;
+  int64_t next_renewal_ms;
+  unsigned incarnations;
   guint timer;
 };
 
 /** soak_worker_start() - start a worker without runs. */
 void soak_worker_start (struct soak_worker *w, const char *name,
-                        const char *reports, struct soak_oracle *oracle);
+                        const char *reports, struct soak_oracle *oracle,
+                        unsigned seed);
+
+/**
+ * soak_worker_crash() - drop all runs; a new incarnation comes up later.
+ * @down_ms: time until then; connections are refused meanwhile.
+ * @same_id: whether it reports the same id.
+ */
+void soak_worker_crash (struct soak_worker *w, int64_t down_ms,
+                        gboolean same_id);
 
-/** soak_worker_crash() - drop all runs and begin a new incarnation. */
-void soak_worker_crash (struct soak_worker *w);
+/** soak_worker_resize() - change the capacity that it reports. */
+void soak_worker_resize (struct soak_worker *w, unsigned cpu_milli);
 
 /** soak_worker_stop() - stop listening and release all memory held. */
 void soak_worker_stop (struct soak_worker *w);
