--- a/tests/soak/worker.c
+++ b/tests/soak/worker.c
@@ -119,7 +119,10 @@
   (void)server;
   if (!body || w->up_at_ms)
     {
-      /* A crash cut this call off. */
+      /* A crash cuts calls off; what has arrived must be valid. */
+      if (soup_server_message_get_request_body (msg)->length > 0 && !body)
+        soak_violation (w->oracle, "%s received a call that is not JSON: %s",
+                        w->name, err.text);
       soup_server_message_pause (msg);
       return;
     }
