Count a crash that an agent learns of only from leases that end

The coordinator counts HK_END_LOST as crashes, so a task that crashes such endpoints was not counted and started without limit.

Runs whose leases end while the endpoint does not answer are reported as lost; an endpoint that answers lists expired leases itself. The line event=run_outlived_lease follows and now also covers refused connections.

--- a/src/runner/runner_renew.c
+++ b/src/runner/runner_renew.c
@@ -93,7 +93,7 @@
       runner_report_schedule (r);
     }
   if (run->state == RUN_ENDED && run->end_seq == 0
-      && run->how == HK_END_LEASE_EXPIRED)
+      && run->how == HK_END_LOST)
     hk_log (HK_LOG_ERROR, "runner", NULL, row->task.job,
             "event=run_outlived_lease step=%u index=%u run=%u", row->task.step,
             row->task.index, row->run);
@@ -207,7 +207,8 @@
 
   if (r->lease_end_ms && now > r->lease_end_ms && r->n_runs > 0)
     {
-      runner_runs_end_all (r, HK_END_LEASE_EXPIRED, "leases expired");
+      /* While the endpoint answers, it lists such ends itself. */
+      runner_runs_end_all (r, HK_END_LOST, "leases expired");
       r->lease_end_ms = 0;
     }
   if (!r->renewing && !r->leaving)
--- a/tests/runner/test_runner.c
+++ b/tests/runner/test_runner.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "hyssopkeel/log.h"
+#include "hyssopkeel/metrics.h"
 #include "runner_support.h"
 
 static void
@@ -266,6 +267,32 @@
   fixture_finish (&f);
 }
 
+static gboolean
+crash_counted (void *user)
+{
+  (void)user;
+  return hk_metric_get ("hyssopkeel_endpoint_crashes_total", "")->value > 0;
+}
+
+/* Guards against a task that crashes endpoint after endpoint without being
+   counted: where connections are not refused, an agent learns of a crash only
+   from leases that end without an answer. */
+static void
+endpoints_silent_beyond_their_leases_count_as_crashed (void)
+{
+  struct fixture f;
+
+  fixture_init (&f);
+  f.rt.work_ms = 100000;
+  send_request (&f, 0, HK_JOB_REQUEST_SUBMIT);
+  test_run_until (two_running, &f.rt);
+  test_run_for (200);
+  hk_metric_get ("hyssopkeel_endpoint_crashes_total", "")->value = 0;
+  f.rt.silent = TRUE;
+  test_run_until (crash_counted, &f);
+  fixture_finish (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -278,6 +305,7 @@
   ADD (late_starts_are_refused);
   ADD (runs_missing_from_a_list_are_stopped_first);
   ADD (runs_of_a_crashed_endpoint_restart_elsewhere);
+  ADD (endpoints_silent_beyond_their_leases_count_as_crashed);
   ADD (service_tasks_leave_a_draining_endpoint);
   ADD (endpoint_restart_ends_its_runs);
   ADD (starts_in_flight_at_a_crash_run_once);
--- a/tests/support/memory_runtime.c
+++ b/tests/support/memory_runtime.c
@@ -130,7 +130,9 @@
   struct pending_reply *a = g_new0 (struct pending_reply, 1);
 
   a->rt = rt;
-  a->rc = rt->unreachable ? HK_ERR_UNAVAILABLE : rc;
+  a->rc = rt->unreachable ? HK_ERR_UNAVAILABLE
+          : rt->silent    ? HK_ERR_TIMEOUT
+                          : rc;
   a->list = list;
   a->done = done;
   a->user = user;
@@ -206,6 +208,7 @@
       return;
     }
   rc = rt->unreachable ? HK_ERR_UNAVAILABLE
+       : rt->silent    ? HK_ERR_TIMEOUT
                        : start_run (rt, &order->task, order->run,
                                     order->deadline_ms, order->fence);
   if (rt->drop_start_replies > 0 && rc == HK_OK)
@@ -259,7 +262,7 @@
   struct memory_runtime *rt = (struct memory_runtime *)base;
 
   (void)wait_ms;
-  if (!rt->unreachable)
+  if (!rt->unreachable && !rt->silent)
     {
       update_runs (rt);
       rt->fence = MAX (rt->fence, fence);
--- a/tests/support/memory_runtime.h
+++ b/tests/support/memory_runtime.h
@@ -16,6 +16,7 @@
  * @stale_lists: number of next lists without running tasks, as if made before
  *               these started and overtaken by the replies to the starts.
  * @unreachable: every call fails as if no process listened.
+ * @silent: calls time out and have no effect.
  * @capacity: runs that it has room for.
  * @rejects_excess: starts beyond @capacity are refused.
  * @stop_ms: duration of a stop.
@@ -42,6 +43,7 @@
   int delay_starts;
   int stale_lists;
   gboolean unreachable;
+  gboolean silent;
   int capacity;
   gboolean rejects_excess;
   int64_t stop_ms;
