Take the age of a run at a crash from its last progress

An agent behind a relay notices a crash up to a lease later, and reports the runs as running until then. The age at the crash was the time until it was noticed, so it differed by two seconds between crashes of one cause; and the reports after a crash passed for life, which exonerated the task at the next, quicker crash.

The age is now that of the last progress. A run counts as alive until its last progress, or until a crash after its last report would have been noticed at the latest, by the lease arithmetic; tasks that report no progress are cleared later for it.

--- a/src/coord/coord_crash.c
+++ b/src/coord/coord_crash.c
@@ -11,20 +11,27 @@
   return run->inherited && start ? MIN (start, c->taken_over_ms) : start;
 }
 
+/* Age at the last sign of life. Reports of a run go on after a crash until its
+   agent notices, so only progress counts. */
 static int64_t
 run_age_ms (const struct hk_coord *c, const struct hk_run *run, int64_t now)
 {
   int64_t start = run_start_ms (c, run);
 
-  return start ? now - start : HK_CRASH_AGE_UNKNOWN;
+  if (!start)
+    return HK_CRASH_AGE_UNKNOWN;
+  return run->started_ms ? MAX (run->progress_ms - start, 0) : now - start;
 }
 
-/* Time for which a run is known to have lived. */
+/* Time for which a run is known to have lived: until its last progress, or
+   until a crash after its last report would have been noticed. */
 static int64_t
 run_alive_ms (const struct hk_coord *c, const struct hk_run *run)
 {
-  return run->started_ms ? MAX (run->reported_ms - run_start_ms (c, run), 0)
-                         : 0;
+  int64_t noticed_ms = hk_authority_terminated_at (&c->authority, 0);
+  int64_t last = MAX (run->progress_ms, run->reported_ms - noticed_ms);
+
+  return run->started_ms ? MAX (last - run_start_ms (c, run), 0) : 0;
 }
 
 static gboolean
