--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -262,6 +262,11 @@
 void coord_commit_drop_unsent (struct hk_coord *c);
 gboolean coord_store_failing (const struct hk_coord *c, int64_t now);
 
+/* coord_describe.c */
+/* Returns whether the instance may accept other runs than before. */
+gboolean coord_instance_describe (struct hk_instance *in,
+                                  const hk_sync_args *args, int64_t now);
+
 /* coord_sync.c */
 void coord_on_sync (struct hk_rpc_request *req, void *args, void *user);
 void coord_links_drop (struct hk_coord *c);
--- a/src/runner/runner_renew.c
+++ b/src/runner/runner_renew.c
@@ -92,8 +92,7 @@
       run->state = RUN_RUNNING;
       runner_report_schedule (r);
     }
-  if (run->state == RUN_ENDED && run->end_seq == 0
-      && run->how == HK_END_LOST)
+  if (run->state == RUN_ENDED && run->end_seq == 0 && run->how == HK_END_LOST)
     hk_log (HK_LOG_ERROR, "runner", NULL, row->task.job,
             "event=run_outlived_lease step=%u index=%u run=%u", row->task.step,
             row->task.index, row->run);
