Split the claim of a job from its run

Pure moves: the 42 functions have the same parameters and bodies as before, apart from the new names of the shared ones (compared by script).

The mutant "3 resume once" and the head of the model claim.pml named job_run.c; they now name the file that has the code. The mutant was run on a scratch copy: resume-evicted fails on it (epoch 1 instead of 2).

Run: format and lint without findings; ctest -R "agent|scenario-(resume|place-holder|budget-job|once-agent|jobs)": 19 of 19 passed; model-claim passed. The other tests were not run.

--- a/bench/experiments/mutants.py
+++ b/bench/experiments/mutants.py
@@ -21,7 +21,7 @@
         ("src/agent/session.c", "return s->expires_ms - DRIFT_MARGIN_MS;",
          "return INT64_MAX / 2;")], "place-cut-from-store"),
     ("3 resume once", [
-        ("src/agent/job_run.c", "j->next.epoch = j->job.epoch + 1;",
+        ("src/agent/job_claim.c", "j->next.epoch = j->job.epoch + 1;",
          "j->next.epoch = MAX (j->job.epoch, 1);")], "resume-evicted"),
     ("4 whole answers", [
         ("src/rpc/rpc_channel.c", "GUINT_TO_POINTER (GUINT32_FROM_BE (xid))",
--- a/src/agent/job_run.c
+++ b/src/agent/job_run.c
@@ -1,5 +1,5 @@
-/* Life cycle of one job on this instance, from the claim to the record of its
-   outcome.
+/* Run of a claimed job on this instance, from the start of its task to the
+   record of its outcome.
 
    Every write to the record is conditional on the revision last seen, so an
    agent that was paused or partitioned cannot overwrite a newer claim. The
@@ -12,28 +12,21 @@
 #include "hyssopkeel/clock.h"
 #include "hyssopkeel/log.h"
 #include "job_record.h"
+#include "job_run_priv.h"
 
-/* Delay before a failed call to the worker or the store is repeated. */
-#define JOB_RETRY_MS 500
 /* Consecutive listings without the task after which it counts as lost. */
 #define MISSED_LISTINGS_MAX 2
 
-static void write_claim (struct hk_agent_job *j);
-static void write_outcome (void *user);
-static void record_task_end (struct hk_agent_job *j,
-                             enum hk_job_outcome outcome);
-static void start_task (struct hk_agent_job *j);
 static void stop_task (void *user);
-static void discard_task (void *user);
 
-static struct hk_agent *
-agent_of (const struct hk_agent_job *j)
+struct hk_agent *
+hk_job_run_agent (const struct hk_agent_job *j)
 {
   return j->owner->agent;
 }
 
-static void
-set_text (char **slot, const char *text)
+void
+hk_job_run_set_text (char **slot, const char *text)
 {
   g_free (*slot);
   *slot = g_strdup (text);
@@ -62,10 +55,11 @@
 {
   if (j->size.slots == 0)
     return;
-  hk_capacity_release (&agent_of (j)->capacity, j->route, &j->size,
+  hk_capacity_release (&hk_job_run_agent (j)->capacity, j->route, &j->size,
                        hk_clock_ms ());
   j->size = (struct hk_size){ 0 };
-  hk_agent_notify (&agent_of (j)->requests.task, HK_MSG_CAPACITY_FREED);
+  hk_agent_notify (&hk_job_run_agent (j)->requests.task,
+                   HK_MSG_CAPACITY_FREED);
 }
 
 void
@@ -85,199 +79,76 @@
     hk_task_drained (&owner->task);
 }
 
-static void
-reply_to_offer (struct hk_agent_job *j, int status, const char *reason)
-{
-  hk_rpc_status_reply reply = { .status = status, .reason = (char *)reason };
-
-  if (!j->offer_call)
-    return;
-  hk_agent_load_get (agent_of (j), &reply.load);
-  hk_rpc_reply (j->offer_call, &reply);
-  j->offer_call = NULL;
-}
-
-/* Sends a control call for the task; at most one may be in flight. */
-static void
-call_worker (struct hk_agent_job *j, const char *path, json_object *body,
-             hk_worker_call_done done)
+void
+hk_job_run_call_worker (struct hk_agent_job *j, const char *path,
+                        json_object *body, hk_worker_call_done done)
 {
-  struct hk_worker *worker = agent_of (j)->worker;
+  struct hk_worker *worker = hk_job_run_agent (j)->worker;
 
   j->call_in_flight = TRUE;
   worker->ops->call (worker, path, body, done, j);
 }
 
-/* Clears the call in flight. Returns FALSE if the job has left @phase or is to
-   be discarded, so that the reply must be ignored. */
-static gboolean
-finish_call (struct hk_agent_job *j, enum hk_job_phase phase)
+gboolean
+hk_job_run_finish_call (struct hk_agent_job *j, enum hk_job_phase phase)
 {
   j->call_in_flight = FALSE;
   if (j->discard_pending)
     {
-      discard_task (j);
+      hk_job_run_discard (j);
       return FALSE;
     }
   return j->phase == phase;
 }
 
-static void
-abandon_claim (struct hk_agent_job *j)
-{
-  hk_log (HK_LOG_WARN, "jobs", NULL, j->job.id,
-          "claim superseded in the store, removing the task from the worker "
-          "epoch=%" PRId64,
-          j->job.epoch);
-  discard_task (j);
-}
-
-/* Claim */
-
-static gboolean
-held_under_valid_session (const struct hk_agent_job *j)
-{
-  const struct hk_session *s = &agent_of (j)->session;
-
-  return s->id && g_strcmp0 (j->job.holder, s->id) == 0
-         && hk_session_valid_until (s) > hk_clock_ms ();
-}
-
-static void
-on_adopted (int rc, json_object *reply, const struct hk_error *err, void *user)
-{
-  struct hk_agent_job *j = user;
-
-  (void)reply;
-  if (!finish_call (j, HK_PHASE_START))
-    return;
-  if (rc == HK_ERR_NOT_FOUND)
-    {
-      start_task (j);
-      return;
-    }
-  if (rc < 0)
-    hk_log_error ("jobs", j->job.id, err);
-  j->phase = HK_PHASE_RUN;
-}
-
-static int64_t
-worker_lease_expiry (const struct hk_agent *agent)
-{
-  return MIN (hk_clock_ms () + agent->settings->worker_lease_ms,
-              hk_session_valid_until (&agent->session));
-}
-
-static void
-adopt_task (struct hk_agent_job *j, int64_t previous_epoch)
-{
-  g_autofree char *path = g_strdup_printf ("/tasks/%s/adopt", j->job.id);
-  json_object *body = json_object_new_object ();
-
-  json_object_object_add (body, "epoch",
-                          json_object_new_int64 (previous_epoch));
-  json_object_object_add (body, "new_epoch",
-                          json_object_new_int64 (j->job.epoch));
-  json_object_object_add (
-      body, "expires_ms",
-      json_object_new_int64 (worker_lease_expiry (agent_of (j))));
-  j->phase = HK_PHASE_START;
-  call_worker (j, path, body, on_adopted);
-}
-
-static void
-continue_after_claim (struct hk_agent_job *j, int64_t previous_epoch)
-{
-  if (!held_under_valid_session (j))
-    j->phase = HK_PHASE_RUN; /* the next renewal claims it again */
-  else if (j->owner->draining || j->job.cancel)
-    {
-      j->phase = HK_PHASE_RUN;
-      hk_job_run_stop (j, "instance is leaving", FALSE);
-    }
-  else if (j->on_worker)
-    adopt_task (j, previous_epoch);
-  else
-    start_task (j);
-}
-
-static void
-retry_claim (void *user)
-{
-  write_claim (user);
-}
+/* Outcome */
 
 static void
-on_claimed (int rc, const struct hk_store_kv *current,
-            const struct hk_error *err, void *user)
+on_outcome_written (int rc, const struct hk_store_kv *current,
+                    const struct hk_error *err, void *user)
 {
   struct hk_agent_job *j = user;
-  int64_t previous_epoch = j->job.epoch;
-  gboolean first_claim = j->phase == HK_PHASE_CLAIM;
 
-  if (rc == HK_OK
-      || (rc == HK_ERR_CONFLICT && hk_job_claim_committed (j, current)))
+  if (rc == HK_OK)
     {
+      hk_log (HK_LOG_INFO, "jobs", NULL, j->job.id,
+              "outcome recorded state=%s epoch=%" PRId64, j->next.state_name,
+              j->next.epoch);
       hk_job_commit_next (j, current->mod_revision);
-      reply_to_offer (j, HK_OK, "");
-      continue_after_claim (j, previous_epoch);
-      return;
+      hk_job_run_discard (j);
     }
-  reply_to_offer (j, rc, err->text);
-  if (rc == HK_ERR_CONFLICT && !first_claim && hk_job_claim_valid (j, current))
-    write_claim (j);
-  else if (rc == HK_ERR_CONFLICT && !first_claim)
-    abandon_claim (j);
-  else if (rc == HK_ERR_CONFLICT || (rc == HK_ERR_UNAVAILABLE && first_claim))
-    hk_job_run_free (j);
+  else if (rc == HK_ERR_CONFLICT && hk_job_claim_valid (j, current))
+    hk_job_run_write_outcome (j);
+  else if (rc == HK_ERR_CONFLICT)
+    hk_job_run_abandon (j);
   else
     {
-      /* The outcome is unknown; the same write is repeated until it is
-         known. */
       hk_log_error ("jobs", j->job.id, err);
-      hk_timer_set (&j->retry_timer, JOB_RETRY_MS, retry_claim, j);
+      hk_timer_set (&j->retry_timer, HK_JOB_RETRY_MS, hk_job_run_write_outcome,
+                    j);
     }
 }
 
-static void
-write_claim (struct hk_agent_job *j)
+void
+hk_job_run_write_outcome (void *user)
 {
-  struct hk_agent *agent = agent_of (j);
+  struct hk_agent_job *j = user;
 
   if (!j->write_id)
-    {
-      if (!agent->session.id)
-        {
-          hk_timer_set (&j->retry_timer, JOB_RETRY_MS, retry_claim, j);
-          return;
-        }
-      hk_job_copy (&j->next, &j->job);
-      hk_job_set_state (&j->next, HK_JOB_RUNNING);
-      j->next.epoch = j->job.epoch + 1;
-      set_text (&j->next.holder, agent->session.id);
-      set_text (&j->next.instance, agent->settings->name);
-      set_text (&j->next.boot, agent->link.boot);
-      j->next.worker_lease_ms = agent->settings->worker_lease_ms;
-      if (j->next.started_ms == 0)
-        j->next.started_ms = g_get_real_time () / 1000;
-    }
-  hk_job_store_next (j, on_claimed);
-}
-
-void
-hk_job_run_claim (struct hk_agent_job *j)
-{
-  j->phase = HK_PHASE_CLAIM;
-  write_claim (j);
+    hk_job_next_from_outcome (j);
+  hk_job_store_next (j, on_outcome_written);
 }
 
-void
-hk_job_run_adopt (struct hk_agent_job *j, json_object *task)
+/* Records the outcome of a task that no longer runs. A checkpoint write in
+   flight completes first and then triggers the write of the outcome. */
+static void
+record_task_end (struct hk_agent_job *j, enum hk_job_outcome outcome)
 {
-  j->on_worker = TRUE;
-  j->may_have_run = TRUE;
-  j->phase = HK_PHASE_RUN;
-  hk_job_run_state_update (j, task);
+  j->outcome = outcome;
+  j->phase = HK_PHASE_RECORD;
+  release_booking (j);
+  if (!j->write_id)
+    hk_job_run_write_outcome (j);
 }
 
 /* Start */
@@ -288,7 +159,7 @@
   struct hk_agent_job *j = user;
 
   (void)reply;
-  if (!finish_call (j, HK_PHASE_START))
+  if (!hk_job_run_finish_call (j, HK_PHASE_START))
     return;
   j->phase = HK_PHASE_RUN;
   if (rc == HK_ERR_STOPPED)
@@ -301,7 +172,7 @@
   if (rc == HK_ERR_INVALID)
     {
       hk_log_error ("jobs", j->job.id, err);
-      set_text (&j->job.reason, err->text);
+      hk_job_run_set_text (&j->job.reason, err->text);
       record_task_end (j, HK_JOB_OUTCOME_FAILED);
       return;
     }
@@ -316,10 +187,10 @@
     hk_job_run_throttle (j, j->owner->throttle_percent);
 }
 
-static void
-start_task (struct hk_agent_job *j)
+void
+hk_job_run_start (struct hk_agent_job *j)
 {
-  struct hk_agent *agent = agent_of (j);
+  struct hk_agent *agent = hk_job_run_agent (j);
   json_object *body = json_object_new_object ();
 
 #define ADD_INT(name, value)                                                  \
@@ -332,7 +203,7 @@
   ADD_STR ("payload", j->job.payload);
   ADD_STR ("checkpoint", j->job.checkpoint);
   ADD_INT ("epoch", j->job.epoch);
-  ADD_INT ("expires_ms", worker_lease_expiry (agent));
+  ADD_INT ("expires_ms", hk_job_run_lease_expiry (agent));
   ADD_INT ("cpu_milli", j->size.cpu_milli);
   ADD_INT ("memory_mb", j->size.memory_mb);
   ADD_INT ("accelerators", j->size.accelerators);
@@ -342,56 +213,7 @@
   j->on_worker = TRUE;
   j->may_have_run = TRUE;
   j->missed_listings = 0;
-  call_worker (j, "/tasks", body, on_started);
-}
-
-/* Outcome */
-
-static void
-on_outcome_written (int rc, const struct hk_store_kv *current,
-                    const struct hk_error *err, void *user)
-{
-  struct hk_agent_job *j = user;
-
-  if (rc == HK_OK)
-    {
-      hk_log (HK_LOG_INFO, "jobs", NULL, j->job.id,
-              "outcome recorded state=%s epoch=%" PRId64, j->next.state_name,
-              j->next.epoch);
-      hk_job_commit_next (j, current->mod_revision);
-      discard_task (j);
-    }
-  else if (rc == HK_ERR_CONFLICT && hk_job_claim_valid (j, current))
-    write_outcome (j);
-  else if (rc == HK_ERR_CONFLICT)
-    abandon_claim (j);
-  else
-    {
-      hk_log_error ("jobs", j->job.id, err);
-      hk_timer_set (&j->retry_timer, JOB_RETRY_MS, write_outcome, j);
-    }
-}
-
-static void
-write_outcome (void *user)
-{
-  struct hk_agent_job *j = user;
-
-  if (!j->write_id)
-    hk_job_next_from_outcome (j);
-  hk_job_store_next (j, on_outcome_written);
-}
-
-/* Records the outcome of a task that no longer runs. A checkpoint write in
-   flight completes first and then triggers the write of the outcome. */
-static void
-record_task_end (struct hk_agent_job *j, enum hk_job_outcome outcome)
-{
-  j->outcome = outcome;
-  j->phase = HK_PHASE_RECORD;
-  release_booking (j);
-  if (!j->write_id)
-    write_outcome (j);
+  hk_job_run_call_worker (j, "/tasks", body, on_started);
 }
 
 /* Stop */
@@ -411,7 +233,7 @@
   const char *checkpoint = hk_json_str (task, "checkpoint");
 
   if (checkpoint)
-    set_text (&j->job.checkpoint, checkpoint);
+    hk_job_run_set_text (&j->job.checkpoint, checkpoint);
 }
 
 static void
@@ -422,12 +244,12 @@
   copy_checkpoint (j, task);
   if (g_strcmp0 (state, "done") == 0)
     {
-      set_text (&j->job.result, hk_json_str (task, "result"));
+      hk_job_run_set_text (&j->job.result, hk_json_str (task, "result"));
       record_task_end (j, HK_JOB_OUTCOME_DONE);
     }
   else if (g_strcmp0 (state, "failed") == 0)
     {
-      set_text (&j->job.reason, "task failed");
+      hk_job_run_set_text (&j->job.reason, "task failed");
       record_task_end (j, HK_JOB_OUTCOME_FAILED);
     }
   else
@@ -439,7 +261,7 @@
 {
   struct hk_agent_job *j = user;
 
-  if (!finish_call (j, HK_PHASE_STOP))
+  if (!hk_job_run_finish_call (j, HK_PHASE_STOP))
     return;
   if (rc == HK_OK)
     record_end_by_state (j, reply);
@@ -448,7 +270,7 @@
   else
     {
       hk_log_error ("jobs", j->job.id, err);
-      hk_timer_set (&j->retry_timer, JOB_RETRY_MS, stop_task, j);
+      hk_timer_set (&j->retry_timer, HK_JOB_RETRY_MS, stop_task, j);
     }
 }
 
@@ -458,7 +280,7 @@
   struct hk_agent_job *j = user;
   g_autofree char *path = g_strdup_printf ("/tasks/%s/stop", j->job.id);
 
-  call_worker (j, path, new_epoch_body (j->job.epoch), on_stopped);
+  hk_job_run_call_worker (j, path, new_epoch_body (j->job.epoch), on_stopped);
 }
 
 void
@@ -466,7 +288,7 @@
 {
   if (j->phase != HK_PHASE_RUN)
     return; /* a claim or start in flight checks for a stop when it ends */
-  set_text (&j->job.reason, reason);
+  hk_job_run_set_text (&j->job.reason, reason);
   j->evicted = evicted;
   j->phase = HK_PHASE_STOP;
   hk_log (HK_LOG_INFO, "jobs", NULL, j->job.id, "stopping the task: %s",
@@ -491,11 +313,11 @@
   if (rc == HK_OK || rc == HK_ERR_NOT_FOUND || rc == HK_ERR_INVALID)
     hk_job_run_free (j);
   else
-    hk_timer_set (&j->retry_timer, JOB_RETRY_MS, discard_task, j);
+    hk_timer_set (&j->retry_timer, HK_JOB_RETRY_MS, hk_job_run_discard, j);
 }
 
-static void
-discard_task (void *user)
+void
+hk_job_run_discard (void *user)
 {
   struct hk_agent_job *j = user;
   g_autofree char *path = g_strdup_printf ("/tasks/%s/forget", j->job.id);
@@ -504,7 +326,8 @@
   if (j->call_in_flight)
     j->discard_pending = TRUE;
   else if (j->on_worker)
-    call_worker (j, path, new_epoch_body (j->job.epoch), on_discarded);
+    hk_job_run_call_worker (j, path, new_epoch_body (j->job.epoch),
+                            on_discarded);
   else
     hk_job_run_free (j);
 }
@@ -533,7 +356,7 @@
 hk_job_run_throttle (struct hk_agent_job *j, int64_t percent)
 {
   g_autofree char *path = g_strdup_printf ("/tasks/%s/throttle", j->job.id);
-  struct hk_worker *worker = agent_of (j)->worker;
+  struct hk_worker *worker = hk_job_run_agent (j)->worker;
   json_object *body = new_epoch_body (j->job.epoch);
 
   if (j->phase != HK_PHASE_RUN || !j->on_worker)
@@ -547,64 +370,12 @@
 
 /* Task states reported by the worker */
 
-static void
-on_checkpoint_written (int rc, const struct hk_store_kv *current,
-                       const struct hk_error *err, void *user)
-{
-  struct hk_agent_job *j = user;
-
-  if (rc == HK_OK)
-    {
-      g_autofree char *reason = g_strdup (j->job.reason);
-      g_autofree char *result = g_strdup (j->job.result);
-      g_autofree char *checkpoint = g_strdup (j->job.checkpoint);
-
-      hk_job_commit_next (j, current->mod_revision);
-      set_text (&j->job.reason, reason);
-      set_text (&j->job.result, result);
-      set_text (&j->job.checkpoint, checkpoint);
-    }
-  else if (rc == HK_ERR_CONFLICT && hk_job_claim_valid (j, current))
-    {
-      if (j->job.cancel)
-        hk_job_run_stop (j, "cancelled", FALSE);
-    }
-  else if (rc == HK_ERR_CONFLICT)
-    {
-      g_clear_pointer (&j->write_id, g_free);
-      abandon_claim (j);
-      return;
-    }
-  else
-    {
-      /* Repeated until the outcome is known, since the next write compares
-         the revision that this one makes. */
-      hk_log_error ("jobs", j->job.id, err);
-      hk_job_store_next (j, on_checkpoint_written);
-      return;
-    }
-  if (j->phase == HK_PHASE_RECORD)
-    write_outcome (j);
-}
-
-static void
-write_checkpoint (struct hk_agent_job *j)
-{
-  int64_t now = hk_clock_ms ();
-
-  if (j->write_id || now < j->checkpoint_at_ms)
-    return;
-  j->checkpoint_at_ms = now + agent_of (j)->settings->checkpoint_ms;
-  hk_job_copy (&j->next, &j->job);
-  hk_job_store_next (j, on_checkpoint_written);
-}
-
 /* Books the memory that the task uses beyond its declared size. If it does not
    fit, the task is evicted and the job requeued with the measured size. */
 static void
 book_excess_memory (struct hk_agent_job *j, json_object *task)
 {
-  struct hk_ledger *ledger = &agent_of (j)->capacity.ledger;
+  struct hk_ledger *ledger = &hk_job_run_agent (j)->capacity.ledger;
   int64_t used = hk_json_int (task, "used_memory_mb");
   struct hk_size extra = { .memory_mb = used - j->size.memory_mb };
 
@@ -617,19 +388,6 @@
     hk_job_run_stop (j, "uses more memory than was declared", TRUE);
 }
 
-static void
-claim_again (struct hk_agent_job *j)
-{
-  const struct hk_session *s = &agent_of (j)->session;
-
-  if (j->write_id || !s->id || hk_session_valid_until (s) <= hk_clock_ms ())
-    return;
-  hk_log (HK_LOG_INFO, "jobs", NULL, j->job.id,
-          "claiming the job again for the new session=%s", s->id);
-  j->phase = HK_PHASE_RECLAIM;
-  write_claim (j);
-}
-
 void
 hk_job_run_state_update (struct hk_agent_job *j, json_object *task)
 {
@@ -639,7 +397,7 @@
     return;
   if (!j->on_worker)
     {
-      claim_again (j);
+      hk_job_run_claim_again (j);
       return;
     }
   if (!task)
@@ -649,16 +407,16 @@
       return;
     }
   j->missed_listings = 0;
-  if (g_strcmp0 (state, "running") == 0 && held_under_valid_session (j))
+  if (g_strcmp0 (state, "running") == 0 && hk_job_run_held (j))
     {
       copy_checkpoint (j, task);
       book_excess_memory (j, task);
       if (j->phase == HK_PHASE_RUN)
-        write_checkpoint (j);
+        hk_job_run_write_checkpoint (j);
     }
   else if (g_strcmp0 (state, "suspended") == 0
            || g_strcmp0 (state, "running") == 0)
-    claim_again (j);
+    hk_job_run_claim_again (j);
   else
     record_end_by_state (j, task);
 }
@@ -670,7 +428,7 @@
   j->on_worker = j->phase == HK_PHASE_START && j->call_in_flight;
   if (j->phase != HK_PHASE_RUN && j->phase != HK_PHASE_STOP)
     return;
-  set_text (&j->job.reason, "worker lost the task");
+  hk_job_run_set_text (&j->job.reason, "worker lost the task");
   record_task_end (j, HK_JOB_OUTCOME_REQUEUE);
 }
 
@@ -690,6 +448,6 @@
                 : "and others: the job is to run alone");
   j->on_worker = FALSE;
   j->crashed_alone = alone;
-  set_text (&j->job.reason, "worker crashed while it had the task");
+  hk_job_run_set_text (&j->job.reason, "worker crashed while it had the task");
   record_task_end (j, HK_JOB_OUTCOME_CRASHED);
 }
--- a/tests/model/claim.pml
+++ b/tests/model/claim.pml
@@ -1,11 +1,12 @@
 /* Claim, takeover and checkpoint of one job by two agents.
 
-   Models src/agent/job_run.c (claim, reclaim, outcome), src/agent/session.c
-   (lease) and src/entry/takeover.c (requeue). An agent may be delayed between
-   any two steps, which covers freezes. A reply of the store may be lost after
-   the write; an outage of the store only delays. When a session's lease
-   expires, the worker has already stopped its task by itself, since its own
-   lease is never renewed past that of the session.
+   Models src/agent/job_claim.c (claim, reclaim), src/agent/job_checkpoint.c
+   (checkpoint), src/agent/job_run.c (outcome), src/agent/session.c (lease) and
+   src/entry/takeover.c (requeue). An agent may be delayed between any two
+   steps, which covers freezes. A reply of the store may be lost after the
+   write; an outage of the store only delays. When a session's lease expires,
+   the worker has already stopped its task by itself, since its own lease is
+   never renewed past that of the session.
 
    Broken variants, which the check must detect:
      -DNO_COMPARE  a claim does not compare the revision of the record
