--- /dev/null
+++ b/tests/platform/test_stop.c
@@ -0,0 +1,193 @@
+/* Responses to clients while the process stops. */
+#include <arpa/inet.h>
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "../../platform/submission_api.h"
+#include "../support/jobs.h"
+#include "../support/memory_store.h"
+
+#define READ_LIMIT_S 5
+/* The time limit of a request is then 300 ms. */
+#define SHORT "Deadline-Ms: 300\r\n"
+
+struct fixture
+{
+  struct memory_store store;
+  struct hk_queues queues;
+  struct submission_api api;
+  char *rpc;
+  char *clients;
+};
+
+static void
+add_queue (struct hk_queues *queues)
+{
+  GPtrArray *list = g_ptr_array_new ();
+  struct hk_queue *q = g_new0 (struct hk_queue, 1);
+
+  q->name = g_strdup ("r");
+  q->host = g_strdup ("h.example");
+  q->prefix = g_strdup ("/p/");
+  q->pool = g_strdup ("pool");
+  q->max_attempts = 3;
+  g_ptr_array_add (list, q);
+  hk_queues_replace (queues, 1, list);
+}
+
+/* The coordinator does not run yet, so requests wait. */
+static void
+fixture_init (struct fixture *f)
+{
+  struct hk_coord_options options = HK_COORD_OPTIONS_INIT;
+  g_autofree char *ready = test_address ();
+  g_autofree char *metrics = test_address ();
+  struct hk_error err;
+
+  memset (f, 0, sizeof *f);
+  f->rpc = test_address ();
+  f->clients = test_address ();
+  memory_store_init (&f->store);
+  options.name = "e1";
+  options.address = f->rpc;
+  hk_queues_init (&f->queues);
+  add_queue (&f->queues);
+  f->api.coord = hk_coord_new (&f->store.base, &options);
+  f->api.queues = &f->queues;
+  g_assert_cmpint (
+      submission_api_start (&f->api, f->clients, ready, metrics, &err), ==,
+      HK_OK);
+}
+
+static void
+fixture_finish (struct fixture *f)
+{
+  submission_api_stop (&f->api);
+  hk_coord_free (f->api.coord);
+  test_run_for (50);
+  hk_queues_finish (&f->queues);
+  memory_store_finish (&f->store);
+  g_free (f->rpc);
+  g_free (f->clients);
+}
+
+/* Sends a submission on a connection of its own. */
+static int
+submit (const struct fixture *f, const char *id, const char *header)
+{
+  const struct timeval limit = { .tv_sec = READ_LIMIT_S };
+  const char *body = "{\"steps\":[{\"count\":1,\"cpu\":100,\"memMb\":10}]}";
+  g_autofree char *text = g_strdup_printf (
+      "POST /p/%s HTTP/1.1\r\nHost: h.example\r\n%sContent-Length: %zu\r\n"
+      "\r\n%s",
+      id, header, strlen (body), body);
+  struct sockaddr_in sa = { .sin_family = AF_INET };
+  const char *port = strchr (f->clients, ':') + 1;
+  g_autofree char *ip = g_strndup (f->clients, (gsize)(port - 1 - f->clients));
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  sa.sin_port = htons ((uint16_t)g_ascii_strtoull (port, NULL, 10));
+  g_assert_cmpint (inet_pton (AF_INET, ip, &sa.sin_addr), ==, 1);
+  g_assert_cmpint (connect (fd, (struct sockaddr *)&sa, sizeof sa), ==, 0);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  g_assert_cmpint (write (fd, text, strlen (text)), ==,
+                   (ssize_t)strlen (text));
+  return fd;
+}
+
+/* Reads until the server has closed the connection. */
+static char *
+read_response (int fd)
+{
+  GString *text = g_string_new (NULL);
+  char buf[4096];
+  ssize_t n;
+
+  while ((n = read (fd, buf, sizeof buf)) > 0)
+    g_string_append_len (text, buf, n);
+  close (fd);
+  return g_string_free (text, FALSE);
+}
+
+static void
+wait_for_open (struct fixture *f, unsigned n)
+{
+  gint64 end_us = g_get_monotonic_time () + TEST_LIMIT_MS * (gint64)1000;
+
+  while (f->api.open_requests != n)
+    {
+      g_assert_cmpint (g_get_monotonic_time (), <, end_us);
+      g_main_context_iteration (NULL, TRUE);
+    }
+}
+
+/* The server is closed as soon as no request is open. */
+static void
+requests_are_open_until_their_response_is_written (void)
+{
+  struct fixture f;
+  g_autofree char *response = NULL;
+  int fd;
+
+  fixture_init (&f);
+  f.api.draining = TRUE;
+  fd = submit (&f, "0123456789abcdef", SHORT);
+  wait_for_open (&f, 1);
+  wait_for_open (&f, 0);
+  submission_api_stop (&f.api);
+  response = read_response (fd);
+  g_assert_true (g_str_has_prefix (response, "HTTP/1.1 503 "));
+  g_assert_nonnull (strstr (response, "\"error\""));
+  fixture_finish (&f);
+}
+
+/* The reply of the coordinator then has no connection to go to. */
+static void
+replies_to_closed_connections_are_discarded (void)
+{
+  struct fixture f;
+  g_autofree char *response = NULL;
+  int fd;
+
+  fixture_init (&f);
+  fd = submit (&f, "0123456789abcdef", SHORT);
+  wait_for_open (&f, 1);
+  submission_api_stop (&f.api);
+  g_assert_cmpuint (f.api.open_requests, ==, 0);
+  test_run_for (400);
+  response = read_response (fd);
+  g_assert_cmpstr (response, ==, "");
+  fixture_finish (&f);
+}
+
+static void
+clients_that_hang_up_leave_no_open_request (void)
+{
+  struct fixture f;
+
+  fixture_init (&f);
+  for (int i = 0; i < 2; i++)
+    {
+      int fd = submit (&f, "0123456789abcdef", SHORT);
+
+      if (i == 1)
+        shutdown (fd, SHUT_WR);
+      wait_for_open (&f, 1);
+      close (fd);
+      wait_for_open (&f, 0);
+    }
+  fixture_finish (&f);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+#define ADD(name) g_test_add_func ("/stop/" #name, name)
+  ADD (requests_are_open_until_their_response_is_written);
+  ADD (replies_to_closed_connections_are_discarded);
+  ADD (clients_that_hang_up_leave_no_open_request);
+  return g_test_run ();
+}
