Answer open requests at the stop limit before the process ends

It closed the HTTP server first, and the coordinator abandoned its requests only after that, so their replies met closed connections and libsoup logged a CRITICAL for each.

At the limit the coordinator now replies to every pending request: UNKNOWN (504) if it may have been carried out, REFUSED (503 with Retry-After) if it was never sent to a leader. It replies in the same way, without an attempt, to requests that arrive later.

Without the call that ends the requests, the new test of the stop limit fails with two open requests at the end.

--- a/include/hyssopkeel/coord.h
+++ b/include/hyssopkeel/coord.h
@@ -62,6 +62,10 @@
 /** hk_coord_resign() - step down if leading, and never take over again. */
 void hk_coord_resign (struct hk_coord *c);
 
+/** hk_coord_end_requests() - reply to all pending requests before the return,
+ * and from now on to each new one without an attempt. */
+void hk_coord_end_requests (struct hk_coord *c);
+
 /** hk_coord_free() - stop at once; pending requests get their reply before the
  * return. */
 void hk_coord_free (struct hk_coord *c);
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -180,6 +180,13 @@
   coord_step_down (c, "process resigns");
 }
 
+void
+hk_coord_end_requests (struct hk_coord *c)
+{
+  c->ends_requests = TRUE;
+  coord_requests_drop (c);
+}
+
 void
 hk_coord_free (struct hk_coord *c)
 {
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -201,6 +201,7 @@
   GHashTable *mean_work;
   struct hk_interference_model interference_model;
   LIST_HEAD (, coord_request) requests;
+  gboolean ends_requests; /* no further attempts; see hk_coord_end_requests */
 
   /* memory of struct coord_pass */
   struct hk_job_place_view candidate_views[HK_PASS_CANDIDATES_MAX];
--- a/src/coord/coord_request.c
+++ b/src/coord/coord_request.c
@@ -353,6 +353,8 @@
     }
   else
     reply.reason = "the coordinator did not answer in time";
+  if (q->c->ends_requests)
+    reply.reason = "this process stops";
   hk_log (HK_LOG_WARN, "ask", q->c->leader.address, q->args.id,
           "event=request_abandoned kind=%d delivered=%d "
           "after_ms=%" G_GINT64_FORMAT,
@@ -366,7 +368,7 @@
   struct coord_request *q = user;
   int64_t now = hk_clock_ms ();
 
-  if (now >= q->deadline_ms
+  if (now >= q->deadline_ms || q->c->ends_requests
       || (!q->delivered && !q->in_flight
           && (now - q->received_ms >= UNDELIVERED_TIMEOUT_MS
               || coord_isolated (q->c, now))))
--- a/tests/platform/test_stop.c
+++ b/tests/platform/test_stop.c
@@ -5,13 +5,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "../../platform/submission_api.h"
+#include "../../platform/entry_drain.h"
 #include "../support/jobs.h"
 #include "../support/memory_store.h"
 
 #define READ_LIMIT_S 5
 /* The time limit of a request is then 300 ms. */
 #define SHORT "Deadline-Ms: 300\r\n"
+#define LONG "Deadline-Ms: 60000\r\n"
 
 struct fixture
 {
@@ -181,6 +182,84 @@
   fixture_finish (&f);
 }
 
+static gboolean
+is_leading (void *user)
+{
+  return hk_coord_leading (user);
+}
+
+static void
+set_flag (void *user)
+{
+  *(gboolean *)user = TRUE;
+}
+
+static gboolean
+is_set (void *user)
+{
+  return *(gboolean *)user;
+}
+
+/* One request is being stored as the drain begins, and one has no leader to go
+   to; both have more time left than the process. */
+static void
+open_requests_are_answered_at_the_stop_limit (void)
+{
+  struct fixture f;
+  struct entry_drain drain = { 0 };
+  struct hk_error err;
+  gboolean done = FALSE;
+  g_autofree char *unknown = NULL;
+  g_autofree char *refused = NULL;
+  int stored, unsent;
+
+  fixture_init (&f);
+  g_assert_cmpint (hk_coord_start (f.api.coord, &err), ==, HK_OK);
+  test_run_until (is_leading, f.api.coord);
+  f.store.delay_writes = G_MAXINT;
+  stored = submit (&f, "0123456789abcdef", LONG);
+  wait_for_open (&f, 1);
+  test_run_for (50);
+  entry_drain_start (&drain, &f.api, 400, set_flag, &done);
+  unsent = submit (&f, "0123456789abcdee", LONG);
+  wait_for_open (&f, 2);
+  g_assert_false (done);
+  test_run_until (is_set, &done);
+  g_assert_cmpuint (f.api.open_requests, ==, 0);
+  submission_api_stop (&f.api);
+  unknown = read_response (stored);
+  refused = read_response (unsent);
+  g_assert_true (g_str_has_prefix (unknown, "HTTP/1.1 504 "));
+  g_assert_true (g_str_has_prefix (refused, "HTTP/1.1 503 "));
+  g_assert_nonnull (strstr (refused, "Retry-After: "));
+  entry_drain_finish (&drain);
+  fixture_finish (&f);
+}
+
+/* A request that arrives while the last responses are written. */
+static void
+requests_after_the_stop_limit_are_refused_at_once (void)
+{
+  struct fixture f;
+  g_autofree char *response = NULL;
+  gint64 sent_us;
+  int fd;
+
+  fixture_init (&f);
+  f.api.draining = TRUE;
+  hk_coord_end_requests (f.api.coord);
+  sent_us = g_get_monotonic_time ();
+  fd = submit (&f, "0123456789abcdef", LONG);
+  wait_for_open (&f, 1);
+  wait_for_open (&f, 0);
+  g_assert_cmpint (g_get_monotonic_time () - sent_us, <, 300000);
+  submission_api_stop (&f.api);
+  response = read_response (fd);
+  g_assert_true (g_str_has_prefix (response, "HTTP/1.1 503 "));
+  g_assert_nonnull (strstr (response, "Retry-After: "));
+  fixture_finish (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -189,5 +268,7 @@
   ADD (requests_are_open_until_their_response_is_written);
   ADD (replies_to_closed_connections_are_discarded);
   ADD (clients_that_hang_up_leave_no_open_request);
+  ADD (open_requests_are_answered_at_the_stop_limit);
+  ADD (requests_after_the_stop_limit_are_refused_at_once);
   return g_test_run ();
 }
