--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -6,9 +6,9 @@
 #include "entry.h"
 #include "http_response.h"
 #include "http_limits.h"
-#include "http_listener.h"
 #include "http_jobs.h"
 #include "http_status.h"
+#include "hyssopkeel/http_listener.h"
 #include "hyssopkeel/listener.h"
 
 #define RESPONSE_FLUSH_MS 300
--- a/src/entry/http_listener.c
+++ b/src/rpc/http_listener.c
@@ -1,7 +1,7 @@
 /* End of the listening sockets of an HTTP server. The kernel resets the
    connections that wait to be accepted when their socket is shut down, so it
    must let no more of them begin before. */
-#include "http_listener.h"
+#include "hyssopkeel/http_listener.h"
 
 #include <errno.h>
 #include <linux/filter.h>
--- a/tests/platform/test_stop.c
+++ b/tests/platform/test_stop.c
@@ -1,6 +1,8 @@
 /* Responses to clients while the process stops. */
 #include <arpa/inet.h>
+#include <errno.h>
 #include <glib.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -74,6 +76,22 @@
   g_free (f->clients);
 }
 
+/* Begins a connection; with SOCK_NONBLOCK, it may not be established yet. */
+static int
+connect_to (const struct fixture *f, int flags)
+{
+  struct sockaddr_in sa = { .sin_family = AF_INET };
+  const char *port = strchr (f->clients, ':') + 1;
+  g_autofree char *ip = g_strndup (f->clients, (gsize)(port - 1 - f->clients));
+  int fd = socket (AF_INET, SOCK_STREAM | flags, 0);
+
+  sa.sin_port = htons ((uint16_t)g_ascii_strtoull (port, NULL, 10));
+  g_assert_cmpint (inet_pton (AF_INET, ip, &sa.sin_addr), ==, 1);
+  if (connect (fd, (struct sockaddr *)&sa, sizeof sa) < 0)
+    g_assert_cmpint (errno, ==, EINPROGRESS);
+  return fd;
+}
+
 /* Sends a submission on a connection of its own. */
 static int
 submit (const struct fixture *f, const char *id, const char *header)
@@ -84,14 +102,8 @@
       "POST /p/%s HTTP/1.1\r\nHost: h.example\r\n%sContent-Length: %zu\r\n"
       "\r\n%s",
       id, header, strlen (body), body);
-  struct sockaddr_in sa = { .sin_family = AF_INET };
-  const char *port = strchr (f->clients, ':') + 1;
-  g_autofree char *ip = g_strndup (f->clients, (gsize)(port - 1 - f->clients));
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int fd = connect_to (f, 0);
 
-  sa.sin_port = htons ((uint16_t)g_ascii_strtoull (port, NULL, 10));
-  g_assert_cmpint (inet_pton (AF_INET, ip, &sa.sin_addr), ==, 1);
-  g_assert_cmpint (connect (fd, (struct sockaddr *)&sa, sizeof sa), ==, 0);
   setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
   g_assert_cmpint (write (fd, text, strlen (text)), ==,
                    (ssize_t)strlen (text));
@@ -260,6 +272,72 @@
   fixture_finish (&f);
 }
 
+/* A client connects and sends while the main loop is busy, and is accepted
+   only when the drain could end. */
+static void
+connections_that_wait_to_be_accepted_are_answered (void)
+{
+  struct fixture f;
+  struct entry_drain drain = { 0 };
+  gboolean done = FALSE;
+  g_autofree char *response = NULL;
+  int fd;
+
+  fixture_init (&f);
+  entry_drain_start (&drain, &f.api, 5000, set_flag, &done);
+  test_run_for (2200);
+  g_assert_false (done);
+  fd = submit (&f, "0123456789abcdef", SHORT);
+  g_usleep (200000);
+  test_run_until (is_set, &done);
+  submission_api_stop (&f.api);
+  response = read_response (fd);
+  g_assert_true (g_str_has_prefix (response, "HTTP/1.1 503 "));
+  entry_drain_finish (&drain);
+  fixture_finish (&f);
+}
+
+struct late_client
+{
+  const struct fixture *f;
+  gboolean done;
+  gboolean connected;
+};
+
+static void
+connect_late (void *user)
+{
+  struct late_client *late = user;
+  struct pollfd p = { .events = POLLOUT };
+
+  p.fd = connect_to (late->f, SOCK_NONBLOCK);
+  late->connected = poll (&p, 1, 100) > 0;
+  late->done = TRUE;
+  close (p.fd);
+}
+
+static gboolean
+is_late_done (void *user)
+{
+  return ((struct late_client *)user)->done;
+}
+
+/* It would be reset when the listener is closed. */
+static void
+no_connection_begins_when_the_process_can_stop (void)
+{
+  struct fixture f;
+  struct entry_drain drain = { 0 };
+  struct late_client late = { .f = &f };
+
+  fixture_init (&f);
+  entry_drain_start (&drain, &f.api, 200, connect_late, &late);
+  test_run_until (is_late_done, &late);
+  g_assert_false (late.connected);
+  entry_drain_finish (&drain);
+  fixture_finish (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -270,5 +348,7 @@
   ADD (clients_that_hang_up_leave_no_open_request);
   ADD (open_requests_are_answered_at_the_stop_limit);
   ADD (requests_after_the_stop_limit_are_refused_at_once);
+  ADD (connections_that_wait_to_be_accepted_are_answered);
+  ADD (no_connection_begins_when_the_process_can_stop);
   return g_test_run ();
 }
