--- a/tests/platform/test_stop.c
+++ b/tests/platform/test_stop.c
@@ -248,6 +248,29 @@
   fixture_finish (&f);
 }
 
+/* The process was suspended from before its limit until long after it. */
+static void
+open_requests_are_answered_by_a_late_check (void)
+{
+  struct fixture f;
+  struct entry_drain drain = { 0 };
+  gboolean done = FALSE;
+  g_autofree char *response = NULL;
+  int fd;
+
+  fixture_init (&f);
+  fd = submit (&f, "0123456789abcdef", LONG);
+  wait_for_open (&f, 1);
+  entry_drain_start (&drain, &f.api, 100, set_flag, &done);
+  g_usleep (800000);
+  test_run_until (is_set, &done);
+  submission_api_stop (&f.api);
+  response = read_response (fd);
+  g_assert_true (g_str_has_prefix (response, "HTTP/1.1 503 "));
+  entry_drain_finish (&drain);
+  fixture_finish (&f);
+}
+
 /* A request that arrives while the last responses are written. */
 static void
 requests_after_the_stop_limit_are_refused_at_once (void)
@@ -347,6 +370,7 @@
   ADD (replies_to_closed_connections_are_discarded);
   ADD (clients_that_hang_up_leave_no_open_request);
   ADD (open_requests_are_answered_at_the_stop_limit);
+  ADD (open_requests_are_answered_by_a_late_check);
   ADD (requests_after_the_stop_limit_are_refused_at_once);
   ADD (connections_that_wait_to_be_accepted_are_answered);
   ADD (no_connection_begins_when_the_process_can_stop);
