--- a/src/coord/coord_interference.c
+++ b/src/coord/coord_interference.c
@@ -151,10 +151,12 @@
       = g_array_new (FALSE, TRUE, sizeof (struct hk_interference_source));
   struct hk_run *run;
 
-  in->changes++;
   /* Shares of an unknown number of CPUs would say that nothing interferes. */
   if (!in->capacity_known || in->cpu_milli == 0)
-    return;
+    {
+      in->changes++;
+      return;
+    }
   collect_cpu_shares (c, in, sources);
   LIST_FOREACH (run, &in->runs, link)
   if (coord_is_service_run (run) && run->load_sample > 0)
@@ -178,6 +180,7 @@
             &run->task->step->load, run->headroom + run->headroom_loss,
             HEADROOM_VARIANCE + run->headroom_loss_variance, now);
     }
+  in->changes++;
 }
 
 static gboolean
