Plainer words for suspects; findings of the soak and of flaky tests

Read as a newcomer: no task is convicted and no job is innocent, tasks are given up and jobs cause no crash. Names of a test and of a figure in the soak's last line follow; no check changes.

--- a/src/coord/coord_crash_place.c
+++ b/src/coord/coord_crash_place.c
@@ -118,7 +118,7 @@
   gboolean reserved = task->reserved_until_ms > p->now;
   struct hk_run *run;
 
-  /* A conviction ends the job, so its other suspects wait for it. */
+  /* Giving one suspect up ends the job, so its others wait. */
   if (watch == HK_CRASH_EXCLUSIVE && task->step->job->n_watched > 0)
     return FALSE;
   if (!reserved && !may_take_instance (p, task))
--- a/src/policy/crash_blame.c
+++ b/src/policy/crash_blame.c
@@ -11,7 +11,7 @@
 #define AGE_DIVISOR 4
 /* Longest time until a crash is noticed, and the age of a report. */
 #define PROBATION_MARGIN_MS 750
-/* Two crashes by chance must not convict a task. */
+/* Two crashes by chance must not end a job. */
 #define CRASHES_CONCLUSIVE 3
 #define CRASHES_MAX 5
 
--- a/tests/coord/test_crash.c
+++ b/tests/coord/test_crash.c
@@ -227,7 +227,7 @@
 }
 
 static void
-two_crashes_by_chance_convict_no_task (void)
+two_crashes_by_chance_end_no_job (void)
 {
   struct site s;
 
@@ -342,7 +342,7 @@
   ADD (service_tasks_that_crash_endpoints_are_given_up);
   ADD (steps_with_several_causes_are_given_up);
   ADD (crashes_are_counted_across_takeovers);
-  ADD (two_crashes_by_chance_convict_no_task);
+  ADD (two_crashes_by_chance_end_no_job);
   ADD (causes_are_told_from_bystanders);
   ADD (records_with_crashes_extend_those_without);
   return g_test_run ();
--- a/tests/soak/clients.c
+++ b/tests/soak/clients.c
@@ -334,7 +334,7 @@
   if (failed && !job->failed)
     {
       job->c->failed++;
-      job->c->innocent += !job->deadly;
+      job->c->harmless_failed += !job->deadly;
     }
   job->failed = failed;
   return completed || failed;
--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -30,7 +30,8 @@
  * @unknown: no attempt succeeded, but one may have been carried out.
  * @cancelled: accepted jobs whose cancel was acknowledged.
  * @failed: jobs shown as failed.
- * @innocent: those of @failed that have no task that crashes its workers.
+ * @harmless_failed: those of @failed that have no task that crashes its
+ * workers.
  * @responses: whole responses.
  * @responses_stopping: those of an entry after SIGTERM.
  * @cut_exempt: connections closed under a request around a kill or freeze,
@@ -55,7 +56,7 @@
   unsigned unknown;
   unsigned cancelled;
   unsigned failed;
-  unsigned innocent;
+  unsigned harmless_failed;
   unsigned responses;
   unsigned responses_stopping;
   unsigned cut_exempt;
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -190,13 +190,14 @@
   unsigned violations = s->oracle.violations;
 
   g_print ("seed=%u faults=%u jobs=%u accepted=%u refused=%u unknown=%u "
-           "cancelled=%u failed=%u innocent=%u starts=%u late=%u responses=%u "
+           "cancelled=%u failed=%u harmless_failed=%u starts=%u late=%u "
+           "responses=%u "
            "stopping=%u exempt=%u violations=%u%s%s\n",
            s->seed, s->faults, c->submitted, c->accepted, c->refused,
-           c->unknown, c->cancelled, c->failed, c->innocent, s->oracle.starts,
-           s->oracle.late_starts, c->responses, c->responses_stopping,
-           c->cut_exempt, violations, violations ? " logs=" : "",
-           violations ? s->dir : "");
+           c->unknown, c->cancelled, c->failed, c->harmless_failed,
+           s->oracle.starts, s->oracle.late_starts, c->responses,
+           c->responses_stopping, c->cut_exempt, violations,
+           violations ? " logs=" : "", violations ? s->dir : "");
 }
 
 static const struct size *
