--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -193,7 +193,8 @@
     }
   body = json_object_new_object ();
   json_object_object_add (body, "events", events);
-  json_object_object_add (body, "at", json_object_new_int64 (D.store.revision));
+  json_object_object_add (body, "at",
+                          json_object_new_int64 (D.store.revision));
   D.store.watches = g_list_remove (D.store.watches, w);
   if (w->timer)
     g_source_remove (w->timer);
@@ -313,9 +314,9 @@
       w->msg = g_object_ref (msg);
       w->prefix = g_strdup (g_hash_table_lookup (query, "prefix"));
       w->after = atoll (g_hash_table_lookup (query, "after"));
-      w->timer = g_timeout_add (
-          (guint)atoi (g_hash_table_lookup (query, "waitMs")),
-          on_watch_timeout, w);
+      w->timer
+          = g_timeout_add ((guint)atoi (g_hash_table_lookup (query, "waitMs")),
+                           on_watch_timeout, w);
       D.store.watches = g_list_prepend (D.store.watches, w);
       soup_server_message_pause (msg);
       watch_answer (w, FALSE);
@@ -323,8 +324,8 @@
     }
   if (strcmp (path, "/api/kv-key") == 0)
     {
-      const struct store_item *item = g_tree_lookup (
-          D.store.items, g_hash_table_lookup (query, "key"));
+      const struct store_item *item
+          = g_tree_lookup (D.store.items, g_hash_table_lookup (query, "key"));
 
       status = item ? 200 : 404;
       reply = item ? item_json (item) : json_object_new_object ();
@@ -500,8 +501,7 @@
           json_object_array_add (row, json_object_new_int64 (run->number));
           json_object_array_add (row,
                                  json_object_new_string (run->checkpoint));
-          json_object_array_add (row,
-                                 json_object_new_int (percent_of (run)));
+          json_object_array_add (row, json_object_new_int (percent_of (run)));
           json_object_array_add (row, json_object_new_int (1000));
           json_object_array_add (running, row);
         }
@@ -543,9 +543,8 @@
 lease_extend (struct worker *w, int64_t deadline)
 {
   if (deadline > 0)
-    w->lease_until_ms
-        = MAX (w->lease_until_ms,
-               MIN (deadline, worker_clock (w) + HOLD_MAX_MS));
+    w->lease_until_ms = MAX (w->lease_until_ms,
+                             MIN (deadline, worker_clock (w) + HOLD_MAX_MS));
 }
 
 static const char *
@@ -603,10 +602,9 @@
       answer (w, msg, NULL, TRUE);
       return;
     }
-  g_object_set_data (
-      G_OBJECT (msg), "due",
-      GINT_TO_POINTER ((int)(now_ms () - D.zero_ms
-                             + get_int (body, "waitMs"))));
+  g_object_set_data (G_OBJECT (msg), "due",
+                     GINT_TO_POINTER ((int)(now_ms () - D.zero_ms
+                                            + get_int (body, "waitMs"))));
   g_ptr_array_add (w->waiting, g_object_ref (msg));
   soup_server_message_pause (msg);
 }
@@ -654,9 +652,8 @@
 static void
 worker_beat (struct worker *w)
 {
-  g_autofree char *url
-      = g_strdup_printf ("http://%s:%d/api/Instances.Heartbeat/%s", w->ip,
-                         CONTROL_PORT, w->id);
+  g_autofree char *url = g_strdup_printf (
+      "http://%s:%d/api/Instances.Heartbeat/%s", w->ip, CONTROL_PORT, w->id);
   g_autofree char *text = g_strdup_printf (
       "{\"service\":\"" SERVICE "\",\"address\":\"%s:%d\",\"zone\":\"z1\","
       "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\",\"coldLeftMs\":0,"
@@ -916,9 +913,9 @@
   snprintf (D.dir, sizeof D.dir, "%s/review-XXXXXX", g_get_tmp_dir ());
   if (!mkdtemp (D.dir))
     cannot_run ("cannot make a temporary folder");
-  D.session = soup_session_new_with_options ("proxy-resolver", NULL,
-                                             "max-conns", 200,
-                                             "max-conns-per-host", 50, NULL);
+  D.session
+      = soup_session_new_with_options ("proxy-resolver", NULL, "max-conns",
+                                       200, "max-conns-per-host", 50, NULL);
   g_timeout_add_seconds (CASE_MAX_S, on_case_timeout, NULL);
   store_start ();
   for (int i = 0; i < entries; i++)
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -63,7 +63,7 @@
   GPtrArray *waiting;
   SoupServer *server;
   /* Behaviour that a case may set. */
-  int checkpoint_bytes;    /* length of the checkpoints it makes; 0: none */
+  int checkpoint_bytes; /* length of the checkpoints it makes; 0: none */
 };
 
 struct store_item
