Show that a worker with an earlier start time is never used again

Cause: agent and coordinator take a lower start time of a worker for a late message, without a limit; a step of the time of day makes the new lifetime look older than the one before.

--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -23,6 +23,7 @@
 #define BEAT_MS 1100
 #define HOLD_MAX_MS 6000
 #define CHECKPOINT_MS 1000
+#define RACK_WORKERS 3
 #define RANGE_ITEMS_MAX 500
 /* Pause before the platform starts a process again that ended by itself. */
 #define RESTART_MS 500
@@ -658,10 +659,10 @@
       "{\"service\":\"" SERVICE "\",\"address\":\"%s:%d\",\"zone\":\"z1\","
       "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\",\"coldLeftMs\":0,"
       "\"capacity\":{\"cpu\":%d,\"memMb\":%d,\"gpu\":0},"
-      "\"labels\":[\"a\",\"r1-1\"],\"clockMs\":%" PRId64
+      "\"labels\":[\"a\",\"r1-%d\"],\"clockMs\":%" PRId64
       ",\"sequence\":%" PRId64 ",\"born\":%" PRId64 "}",
       w->ip, APP_PORT, w->draining ? "draining" : "ready", w->cpu_milli,
-      w->memory_mb, worker_clock (w), ++w->sequence, w->born_ms);
+      w->memory_mb, w->rack, worker_clock (w), ++w->sequence, w->born_ms);
   g_autoptr (SoupMessage) msg = soup_message_new ("POST", url);
   g_autoptr (GBytes) bytes = g_bytes_new (text, strlen (text));
 
@@ -702,7 +703,7 @@
   w->lives++;
   if (!same_id || w->lives == 1)
     snprintf (w->id, sizeof w->id, "%s-%d", w->name, w->lives);
-  w->born_ms = MAX (g_get_real_time () / 1000, w->born_ms + 1);
+  w->born_ms = g_get_real_time () / 1000 + w->time_of_day_ms;
   w->clock_zero_ms = now_ms () - g_random_int_range (1000, 500000);
   w->lease_until_ms = w->fence = w->acked = w->last_end = w->sequence = 0;
   w->runs = g_ptr_array_new ();
@@ -930,6 +931,7 @@
       g_strlcpy (w->ip, n->ip, sizeof w->ip);
       w->cpu_milli = cpu_milli;
       w->memory_mb = 64000;
+      w->rack = 1 + i / RACK_WORKERS;
       worker_come_up (w, FALSE);
       g_timeout_add (10, on_worker_tick, w);
     }
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -49,7 +49,8 @@
   int lives;
   gboolean up;
   gboolean draining;
-  int64_t born_ms; /* Unix time */
+  int64_t born_ms;        /* time of day of its machine */
+  int64_t time_of_day_ms; /* by which that machine's time of day is off */
   int64_t clock_zero_ms;
   int64_t lease_until_ms; /* on its own clock */
   int64_t fence;
@@ -59,6 +60,7 @@
   int64_t beat_due_ms;
   int cpu_milli;
   int memory_mb;
+  int rack;        /* its label is r1-RACK */
   GPtrArray *runs; /* struct run, of this life */
   GPtrArray *waiting;
   SoupServer *server;
