--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -400,12 +400,15 @@
   return now_ms () - w->clock_zero_ms;
 }
 
-/* Work of a task in milliseconds: the number after "work=" in the spec. */
+/* Work of a task in milliseconds: the number after "work=" in the spec. After
+   "lasts=", the time until a task that lasts is at work. */
 static int64_t
 work_of (const char *spec)
 {
   const char *at = strstr (spec, "work=");
 
+  if (strstr (spec, "lasts="))
+    return G_MAXINT32;
   return at ? atoll (at + 5) : 500;
 }
 
@@ -422,9 +425,12 @@
 static int
 percent_of (const struct run *run)
 {
-  int64_t whole = MAX (run->due_ms - run->started_ms, 1);
+  const char *lasts = strstr (run->spec, "lasts=");
+  int64_t whole
+      = lasts ? atoll (lasts + 6) : MAX (run->due_ms - run->started_ms, 1);
 
-  return (int)MIN (99, 100 * (now_ms () - run->started_ms) / whole);
+  return (int)MIN (lasts ? 100 : 99,
+                   100 * (now_ms () - run->started_ms) / MAX (whole, 1));
 }
 
 static void
