--- a/review/2/case.c
+++ b/review/2/case.c
@@ -1,61 +1,71 @@
-/* Workers make checkpoints longer than those of the pages' example. A
-   submission that checkpoints must complete, and others beside it too. */
+/* An entry that does not lead freezes. A client leaves that waits there for
+   the answer to its submission, and cancels it at another entry. Once the
+   cancelling has been acknowledged for `cancel_ms`, none of its tasks may
+   start. */
 #include "../standin/standin.h"
 
+#include <signal.h>
 #include <string.h>
 
-#define SAVING "00000000000000b1"
-#define PLAIN "00000000000000b2"
-#define CHECKPOINT_BYTES 256
-#define CHECKPOINT_BYTES_CALM 16
-/* Much more than the work of 5 s takes on a calm day. */
-#define WAIT_S 45
-
-static gboolean
-has_run (const char *id)
-{
-  for (guint i = 0; i < D.all_runs->len; i++)
-    if (g_str_has_prefix (((struct run *)D.all_runs->pdata[i])->task, id))
-      return TRUE;
-  return FALSE;
-}
+#define ID "00000000000000f1"
+#define PATH "/jobs/" ID
+#define FREEZE_MS 4000
+/* The client leaves after this time without an answer. */
+#define PATIENCE_MS 300
+/* Bound of the rule. */
+#define CANCEL_MS 3000
 
 int
 main (void)
 {
-  const char *state = "";
-  gboolean completed = FALSE;
+  struct node *first;
+  struct node *second;
+  int64_t frozen_ms;
+  int64_t acked_ms = 0;
+  int leader;
+  int n_late = 0;
+  int status = 0;
 
-  deployment_start (3, 3, 8000);
-  for (int i = 0; i < D.n_agents; i++)
-    D.workers[i].checkpoint_bytes
-        = trouble () ? CHECKPOINT_BYTES : CHECKPOINT_BYTES_CALM;
-  if (submit (SAVING,
-              "{\"spec\":\"work=5000\",\"steps\":[{\"count\":1,\"cpu\":1000,"
-              "\"memMb\":500,\"estimateMs\":5000,\"checkpointing\":true}]}",
-              10000)
-          / 100
-      != 2)
-    cannot_run ("the submission was not accepted");
-  for (int i = 0; i < WAIT_S && !completed; i++)
+  deployment_start (3, 7, 8000);
+  leader = leader_number ();
+  first = &D.nodes[(leader + 1) % D.n_entries];
+  second = &D.nodes[(leader + 2) % D.n_entries];
+  if (trouble ())
+    node_signal (first, SIGSTOP);
+  frozen_ms = now_ms ();
+  status = call (first, "POST", PATH,
+                 "{\"spec\":\"work=2000\",\"steps\":[{\"count\":4,"
+                 "\"cpu\":1000,\"memMb\":500,\"estimateMs\":2000}]}",
+                 PATIENCE_MS, NULL);
+  record ("client: POST %s at %s: %d", ID, first->name, status);
+  for (int i = 0; i < 5 && acked_ms == 0; i++)
     {
-      run_for (1000);
-      completed = strcmp (state_of (SAVING), "completed") == 0;
+      status = call (second, "DELETE", PATH, NULL, 3000, NULL);
+      record ("client: DELETE %s at %s: %d", ID, second->name, status);
+      if (status / 100 == 2 || status == 410)
+        acked_ms = now_ms ();
+      else
+        run_for (300);
+    }
+  if (acked_ms == 0)
+    cannot_run ("the cancelling was not acknowledged");
+  run_for (MAX (frozen_ms + FREEZE_MS - now_ms (), 0));
+  node_signal (first, SIGCONT);
+  run_for (6000);
+  for (guint i = 0; i < D.all_runs->len; i++)
+    {
+      const struct run *run = D.all_runs->pdata[i];
+
+      n_late += run->started_ms > acked_ms + CANCEL_MS;
     }
-  if (submit (PLAIN,
-              "{\"spec\":\"work=500\",\"steps\":[{\"count\":1,\"cpu\":1000,"
-              "\"memMb\":500,\"estimateMs\":500}]}",
-              10000)
-          / 100
-      != 2)
-    cannot_run ("the second submission was not accepted");
-  run_for (20000);
-  state = state_of (PLAIN);
-  record ("verdict: first submission %s, %u runs in all; second: %s",
-          completed ? "completed" : "not completed", D.all_runs->len, state);
-  g_print ("first submission %s, %u runs in all; second: %s, %s\n",
-           completed ? "completed" : "not completed", D.all_runs->len, state,
-           has_run (PLAIN) ? "has run" : "has not run");
+  state_of (ID);
+  record (
+      "verdict: %d tasks started later than %d ms after the cancelling was "
+      "acknowledged with %d",
+      n_late, CANCEL_MS, status);
+  g_print ("%d tasks started later than %d ms after the cancelling was "
+           "acknowledged with %d\n",
+           n_late, CANCEL_MS, status);
   deployment_stop ();
-  return completed && strcmp (state, "completed") == 0 ? 0 : 1;
+  return n_late > 0 ? 1 : 0;
 }
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -66,6 +66,8 @@
   SoupServer *server;
   /* Behaviour that a case may set. */
   int checkpoint_bytes; /* length of the checkpoints it makes; 0: none */
+  int late_start_ms;    /* leaves the next start unanswered and carries it out
+                           that much later; 0: no */
 };
 
 struct store_item
@@ -113,6 +115,8 @@
 
 void deployment_start (int entries, int agents, int cpu_milli);
 void deployment_stop (void);
+/* Number of the entry that the store's record names as leader. */
+int leader_number (void);
 void run_for (int64_t ms);
 void node_start (struct node *n);
 void node_signal (struct node *n, int sig);
