Move the review's stand-ins beside the build script

Cause: the issue allows only the folders of the cases under review/.

Change: standin.c and standin.h lie in review/ itself.

--- a/review/2/case.c
+++ b/review/2/case.c
@@ -2,7 +2,7 @@
    the answer to its submission, and cancels it at another entry. Once the
    cancelling has been acknowledged for `cancel_ms`, none of its tasks may
    start. */
-#include "../standin/standin.h"
+#include "../standin.h"
 
 #include <signal.h>
 #include <string.h>
--- a/review/5/case.c
+++ b/review/5/case.c
@@ -1,6 +1,6 @@
 /* Workers make checkpoints longer than those of the pages' example. A
    submission that checkpoints must complete, and others beside it too. */
-#include "../standin/standin.h"
+#include "../standin.h"
 
 #include <string.h>
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -7,5 +7,5 @@
 for case in [1-9]/case.c; do
   [ -e "$case" ] || continue
   gcc -std=gnu11 -O1 -g -Wall -Wextra -o ".build/case-${case%/case.c}" "$case" \
-    standin/standin.c "${flags[@]}"
+    standin.c "${flags[@]}"
 done
