Say which RPC message cannot be sent, and why

An agent whose report could not be encoded logged 'coordinator_unreachable cause="cannot be started"', which reads like a network fault; a reply that could not be encoded was dropped without a line, and its caller waited for its time-out.

The error of a call names its procedure, its size and the limit. A server logs event=reply_not_sent and answers with an RPC error at once.

/rpc/limits failed before (the text named no procedure) and passes.

--- a/src/rpc/rpc_channel.c
+++ b/src/rpc/rpc_channel.c
@@ -19,7 +19,8 @@
   void *user;
   struct hk_timer timer;
   uint8_t *record;
-  uint32_t len;
+  uint32_t len;  /* 0 if the arguments cannot be encoded */
+  size_t needed; /* bytes that the message would take without limits */
   gboolean sent;
   int local_error; /* code if the call cannot be sent, otherwise 0 */
   TAILQ_ENTRY (hk_rpc_pending_call) link;
@@ -59,13 +60,26 @@
   free_call (call);
 }
 
+static void
+fail_unsent_call (struct hk_rpc_pending_call *call)
+{
+  char text[160] = "no connection can be opened";
+
+  if (call->local_error == HK_ERR_TOO_BIG)
+    g_snprintf (text, sizeof text,
+                "arguments of procedure %u not sent: %zu bytes are over the "
+                "%u of a message, or a field is over its own limit",
+                call->method->proc, call->needed, HK_RPC_MESSAGE_MAX_BYTES);
+  fail_call (call, call->local_error, text);
+}
+
 static void
 on_call_timeout (void *user)
 {
   struct hk_rpc_pending_call *call = user;
 
   if (call->local_error)
-    fail_call (call, call->local_error, "cannot be started");
+    fail_unsent_call (call);
   else
     fail_call (call, HK_ERR_TIMEOUT, "no answer in time");
 }
@@ -241,6 +255,7 @@
                 + xdr_sizeof (call->method->xdr_args, (void *)args);
   XDR xdr;
 
+  call->needed = size;
   call->record = g_malloc (size);
   msg.rm_xid = call->xid;
   msg.rm_direction = CALL;
--- a/src/rpc/rpc_server.c
+++ b/src/rpc/rpc_server.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "hyssopkeel/listener.h"
+#include "hyssopkeel/log.h"
 
 #define REPLY_HEADER_MAX_BYTES 64
 #define AUTH_BODY_MAX_BYTES 400
@@ -52,7 +53,9 @@
   close_client (conn->user);
 }
 
-static void
+/* Returns HK_ERR_TOO_BIG, and sends nothing, if the reply or a field of it is
+   over its limit. */
+static int
 send_reply (struct hk_rpc_client *client, struct rpc_msg *msg,
             size_t result_size)
 {
@@ -62,8 +65,11 @@
 
   msg->rm_direction = REPLY;
   xdrmem_create (&xdr, buf, (u_int)size, XDR_ENCODE);
-  if (xdr_replymsg (&xdr, msg))
-    hk_rpc_conn_send (&client->conn, (uint8_t *)buf, xdr_getpos (&xdr));
+  if (!xdr_replymsg (&xdr, msg)
+      || xdr_getpos (&xdr) > HK_RPC_MESSAGE_MAX_BYTES)
+    return HK_ERR_TOO_BIG;
+  hk_rpc_conn_send (&client->conn, (uint8_t *)buf, xdr_getpos (&xdr));
+  return HK_OK;
 }
 
 static void
@@ -89,15 +95,21 @@
 hk_rpc_reply (struct hk_rpc_request *req, const void *result)
 {
   struct rpc_msg msg = { .rm_xid = req->xid };
+  size_t size = xdr_sizeof (req->handler->xdr_result, (void *)result);
 
   msg.rm_reply.rp_stat = MSG_ACCEPTED;
   msg.acpted_rply.ar_verf = _null_auth;
   msg.acpted_rply.ar_stat = SUCCESS;
   msg.acpted_rply.ar_results.where = (char *)result;
   msg.acpted_rply.ar_results.proc = req->handler->xdr_result;
-  if (req->client->conn.socket)
-    send_reply (req->client, &msg,
-                xdr_sizeof (req->handler->xdr_result, (void *)result));
+  if (req->client->conn.socket && send_reply (req->client, &msg, size) < 0)
+    {
+      hk_log (HK_LOG_ERROR, "rpc", req->client->conn.peer, NULL,
+              "event=reply_not_sent proc=%u bytes=%zu limit=%u; the message "
+              "or a field of it is over its limit, the caller gets an error",
+              req->handler->proc, size, HK_RPC_MESSAGE_MAX_BYTES);
+      send_status (req->client, req->xid, SYSTEM_ERR);
+    }
   xdr_free (req->handler->xdr_args, req->args);
   g_free (req->args);
   unref_client (req->client);
--- a/tests/unit/test_parts.c
+++ b/tests/unit/test_parts.c
@@ -99,6 +99,7 @@
   int n_done;
   int rc;
   int64_t revision;
+  char text[320];
 };
 
 static void
@@ -237,6 +238,49 @@
   g_assert_cmpint (b.rc, ==, HK_ERR_UNAVAILABLE);
 }
 
+/* Records the text of a failure. */
+static void
+on_oversized (int rc, void *result, const struct hk_error *err, void *user)
+{
+  struct call_result *a = user;
+
+  (void)result;
+  a->n_done++;
+  a->rc = rc;
+  g_strlcpy (a->text, err ? err->text : "", sizeof a->text);
+}
+
+/* Guards against messages over a limit that vanish: the caller waited for its
+   time-out, and no text said what was too big. */
+static void
+rpc_names_what_is_over_a_limit (void)
+{
+  static const struct hk_rpc_method tables
+      = { HK_ENTRY_SNAPSHOT, (xdrproc_t)xdr_hk_rpc_tables,
+          (xdrproc_t)xdr_hk_rpc_tables, sizeof (hk_rpc_tables) };
+  struct peer p = { 0 };
+  struct call_result a = { 0 };
+  struct hk_rpc_channel ch;
+  g_autofree char *text = g_malloc0 (2 * HK_RPC_MAX_STORE_VALUE);
+  hk_rpc_tables big = { .text = { 2 * HK_RPC_MAX_STORE_VALUE, text } };
+  g_autofree char *address = start_peer (&p, HK_ENTRY_V1);
+
+  hk_rpc_channel_init (&ch, address, HK_ENTRY_PROGRAM, HK_ENTRY_V1);
+  hk_rpc_call (&ch, &tables, &big, LIMIT_MS, on_oversized, &a);
+  wait_for_count (&a.n_done, 1);
+  g_assert_cmpint (a.rc, ==, HK_ERR_UNAVAILABLE);
+  g_assert_nonnull (strstr (a.text, "procedure 2"));
+  g_assert_nonnull (strstr (a.text, "bytes"));
+  call_snapshot (&ch, &a, -1, LIMIT_MS);
+  while (!p.delayed)
+    g_main_context_iteration (NULL, TRUE);
+  hk_rpc_reply (p.delayed, &big);
+  wait_for_count (&a.n_done, 2);
+  g_assert_cmpint (a.rc, ==, HK_ERR_PROTOCOL);
+  hk_rpc_channel_finish (&ch);
+  hk_rpc_server_stop (&p.server);
+}
+
 /* Supervisors */
 
 struct counting_task
@@ -343,6 +387,7 @@
   g_test_add_func ("/rpc/many", rpc_matches_replies_and_drops_late_ones);
   g_test_add_func ("/rpc/version", rpc_falls_back_to_older_version);
   g_test_add_func ("/rpc/unsent", rpc_reports_calls_that_were_never_sent);
+  g_test_add_func ("/rpc/limits", rpc_names_what_is_over_a_limit);
   g_test_add_func ("/supervisor/limit", supervisor_restarts_up_to_its_limit);
   g_test_add_func ("/task/messages", tasks_receive_messages_and_drain);
   return g_test_run ();
