Carry long checkpoints, and let one that is too long cost only itself

Cause: hk_job.x bounded a checkpoint to the 200 bytes of a name, nothing checked it where a list is read, and the agent's whole report failed to encode, again and again. Class: a limit that is met only on encoding, by a message that holds others' data too.

A report carries at most 1 MiB of checkpoints and a reply 1 MiB of starts; the rest follows in the next one.

--- a/include/hyssopkeel/hk_job_xdr.h
+++ b/include/hyssopkeel/hk_job_xdr.h
@@ -14,6 +14,7 @@
 #endif
 
 #define HK_JOB_NAME_MAX 200
+#define HK_JOB_TEXT_MAX 65536
 #define HK_JOB_PAYLOAD_MAX 1048576
 #define HK_JOB_STEPS_MAX 256
 #define HK_JOB_TASKS_MAX 65536
--- a/include/hyssopkeel/runtime.h
+++ b/include/hyssopkeel/runtime.h
@@ -8,7 +8,8 @@
  * struct hk_runtime_run - a run that the endpoint lists as running.
  * @task: task; @task.job is owned by the list.
  * @run: number of the run.
- * @checkpoint: newest checkpoint, or "".
+ * @checkpoint: newest checkpoint, "" if there is none, or NULL if it cannot be
+ *              represented; of any length.
  * @percent: progress.
  * @load_sample: tail latency in ms of a service task, else milli-CPUs in use.
  */
@@ -27,7 +28,7 @@
  * @run: number of the run.
  * @seq: sequence number of the end; starts from 1 in each incarnation.
  * @how: how it ended.
- * @checkpoint: newest checkpoint, or "".
+ * @checkpoint: as in struct hk_runtime_run.
  */
 struct hk_runtime_end
 {
--- a/src/coord/coord_sync_reply.c
+++ b/src/coord/coord_sync_reply.c
@@ -13,6 +13,17 @@
    cancellation. */
 #define START_COMMIT_AGE_MAX_MS 1200
 
+/* Texts and payloads of the start orders in one reply, bytes. Further starts
+   follow in the reply to the next report, which the agent sends at once. */
+#define STARTS_MAX_BYTES (1u << 20)
+
+static size_t
+start_order_bytes (const hk_start_order *order)
+{
+  return strlen (order->image) + strlen (order->checkpoint)
+         + order->payload.payload_len;
+}
+
 static void
 start_order_fill (hk_start_order *out, const struct hk_run *run)
 {
@@ -50,6 +61,7 @@
   gboolean commit_is_recent
       = now - l->c->commit.confirmed_ms < START_COMMIT_AGE_MAX_MS;
   gboolean awaiting = FALSE;
+  size_t bytes = 0;
   struct hk_run *run;
 
   LIST_FOREACH (run, &in->runs, link)
@@ -74,6 +86,9 @@
         hk_start_order start = { 0 };
 
         start_order_fill (&start, run);
+        bytes += start_order_bytes (&start);
+        if (starts->len > 0 && bytes > STARTS_MAX_BYTES)
+          continue;
         g_array_append_val (starts, start);
         run->may_execute = TRUE;
         run->spec_requested = FALSE;
--- a/src/rpc/hk_job.x
+++ b/src/rpc/hk_job.x
@@ -1,8 +1,11 @@
 /* Job records in the store, and the RPC messages between coordinators, agents
    and front ends about jobs. generate.sh compiles this file with rpcgen. */
 
-/* Limits of strings and opaque data (bytes) and of arrays (elements). */
+/* Limits of strings and opaque data (bytes) and of arrays (elements). Names are
+   chosen by this system or its settings; texts come from clients, endpoints and
+   the configuration and are checked where they enter. */
 const HK_JOB_NAME_MAX = 200;
+const HK_JOB_TEXT_MAX = 65536;
 const HK_JOB_PAYLOAD_MAX = 1048576;
 const HK_JOB_STEPS_MAX = 256;
 const HK_JOB_TASKS_MAX = 65536;
@@ -58,7 +61,7 @@
   unsigned place;
   unsigned spare_run;
   unsigned spare_place;
-  string checkpoint<HK_JOB_NAME_MAX>;
+  string checkpoint<HK_JOB_TEXT_MAX>;
 };
 
 /* Where a run is placed: "agent/start time of its endpoint". */
@@ -106,7 +109,7 @@
   unsigned percent;
   unsigned figure;
   unsigned pace;
-  string checkpoint<HK_JOB_NAME_MAX>;
+  string checkpoint<HK_JOB_TEXT_MAX>;
 };
 
 enum hk_end_how {
@@ -124,7 +127,7 @@
   hk_task_id task;
   unsigned run;
   hk_end_how how;
-  string checkpoint<HK_JOB_NAME_MAX>;
+  string checkpoint<HK_JOB_TEXT_MAX>;
 };
 
 struct hk_label {
@@ -169,7 +172,7 @@
   unsigned flags;
   unsigned target_ms;
   string image<HK_JOB_NAME_MAX>;
-  string checkpoint<HK_JOB_NAME_MAX>;
+  string checkpoint<HK_JOB_TEXT_MAX>;
   opaque payload<HK_JOB_PAYLOAD_MAX>;
 };
 
--- a/src/rpc/hk_job_xdr.c
+++ b/src/rpc/hk_job_xdr.c
@@ -277,7 +277,7 @@
 		IXDR_PUT_U_LONG(buf, objp->spare_run);
 		IXDR_PUT_U_LONG(buf, objp->spare_place);
 		}
-		 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_TEXT_MAX))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -304,7 +304,7 @@
 		objp->spare_run = IXDR_GET_U_LONG(buf);
 		objp->spare_place = IXDR_GET_U_LONG(buf);
 		}
-		 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_TEXT_MAX))
 			 return FALSE;
 	 return TRUE;
 	}
@@ -321,7 +321,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->spare_place))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_TEXT_MAX))
 		 return FALSE;
 	return TRUE;
 }
@@ -472,7 +472,7 @@
 		IXDR_PUT_U_LONG(buf, objp->figure);
 		IXDR_PUT_U_LONG(buf, objp->pace);
 		}
-		 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_TEXT_MAX))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -501,7 +501,7 @@
 		objp->figure = IXDR_GET_U_LONG(buf);
 		objp->pace = IXDR_GET_U_LONG(buf);
 		}
-		 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_TEXT_MAX))
 			 return FALSE;
 	 return TRUE;
 	}
@@ -520,7 +520,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->pace))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_TEXT_MAX))
 		 return FALSE;
 	return TRUE;
 }
@@ -546,7 +546,7 @@
 		 return FALSE;
 	 if (!xdr_hk_end_how (xdrs, &objp->how))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_TEXT_MAX))
 		 return FALSE;
 	return TRUE;
 }
@@ -774,7 +774,7 @@
 		}
 		 if (!xdr_string (xdrs, &objp->image, HK_JOB_NAME_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_TEXT_MAX))
 			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->payload.payload_val, (u_int *) &objp->payload.payload_len, HK_JOB_PAYLOAD_MAX))
 			 return FALSE;
@@ -807,7 +807,7 @@
 		}
 		 if (!xdr_string (xdrs, &objp->image, HK_JOB_NAME_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_TEXT_MAX))
 			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->payload.payload_val, (u_int *) &objp->payload.payload_len, HK_JOB_PAYLOAD_MAX))
 			 return FALSE;
@@ -830,7 +830,7 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->image, HK_JOB_NAME_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_TEXT_MAX))
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->payload.payload_val, (u_int *) &objp->payload.payload_len, HK_JOB_PAYLOAD_MAX))
 		 return FALSE;
--- a/src/runner/runner.h
+++ b/src/runner/runner.h
@@ -52,6 +52,7 @@
   gboolean throttle_pending;
   int64_t throttled_ms; /* time of the last change of speed */
   char *checkpoint;
+  gboolean checkpoint_rejected; /* one was over the limit; logged once */
   char *payload;
   size_t payload_len;
   int64_t ordered_ms;
@@ -114,6 +115,8 @@
   unsigned open_syncs;
   unsigned sync_generation;
   gboolean report_due;
+  unsigned checkpoint_cursor; /* run whose checkpoint the next report has
+                                 first, as the last had no room for it */
   int64_t last_sync_ms;
   struct hk_timer sync_timer;
   struct hk_timer lookup_timer;
@@ -143,6 +146,7 @@
 void runner_run_set_ended (struct runner_run *run, hk_end_how how,
                            uint64_t seq, const char *checkpoint);
 void runner_run_remove (struct runner_run *run);
+void runner_run_set_checkpoint (struct runner_run *run, const char *text);
 gboolean runner_run_known (const struct runner_run *run);
 void runner_run_free (struct runner_run *run);
 struct runner_run *runner_run_add (struct hk_runner *r, const hk_task_id *task,
--- a/src/runner/runner_renew.c
+++ b/src/runner/runner_renew.c
@@ -104,11 +104,7 @@
   run->last_list = r->list_count;
   run->load_sample = row->load_sample;
   run->percent = row->percent;
-  if (row->checkpoint && strcmp (row->checkpoint, run->checkpoint) != 0)
-    {
-      g_free (run->checkpoint);
-      run->checkpoint = g_strdup (row->checkpoint);
-    }
+  runner_run_set_checkpoint (run, row->checkpoint);
 }
 
 static void
--- a/src/runner/runner_run.c
+++ b/src/runner/runner_run.c
@@ -86,6 +86,31 @@
   return TRUE;
 }
 
+/* A restart then resumes from the last checkpoint that was kept: one that is
+   too long costs the work since, not the run. */
+void
+runner_run_set_checkpoint (struct runner_run *run, const char *text)
+{
+  size_t len = text ? strlen (text) : 0;
+
+  if (!text || strcmp (text, run->checkpoint) == 0)
+    return;
+  if (len <= HK_JOB_TEXT_MAX)
+    {
+      g_free (run->checkpoint);
+      run->checkpoint = g_strdup (text);
+    }
+  else if (!run->checkpoint_rejected)
+    {
+      run->checkpoint_rejected = TRUE;
+      hk_log (HK_LOG_WARN, "runner", NULL, run->task.job,
+              "event=checkpoint_rejected step=%u index=%u run=%u bytes=%zu "
+              "limit=%d kept_bytes=%zu; the task resumes from what was kept",
+              run->task.step, run->task.index, run->number, len,
+              HK_JOB_TEXT_MAX, strlen (run->checkpoint));
+    }
+}
+
 /* A start call that is open may be carried out after its run was given up. */
 static void
 mark_open_start (struct runner_run *run)
@@ -117,10 +142,7 @@
     run->end_seq = seq;
   hk_timer_clear (&run->timer);
   if (checkpoint && *checkpoint)
-    {
-      g_free (run->checkpoint);
-      run->checkpoint = g_strdup (checkpoint);
-    }
+    runner_run_set_checkpoint (run, checkpoint);
   g_clear_pointer (&run->payload, g_free);
 }
 
--- a/src/runner/runner_sync.c
+++ b/src/runner/runner_sync.c
@@ -20,6 +20,9 @@
 #define REPORT_DELAY_MS 2
 /* Pause after a failed report. */
 #define SYNC_RETRY_MS 50
+/* Checkpoints in one report, bytes; the rest of a message of at most
+   HK_RPC_MESSAGE_MAX_BYTES is left to runs and labels. */
+#define REPORT_CHECKPOINTS_MAX_BYTES (1u << 20)
 
 static void lookup_coordinator (struct hk_runner *r);
 
@@ -255,20 +258,54 @@
     hk_timer_set (&r->sync_timer, 0, on_sync_timer, r);
 }
 
-/* Fills in live runs and ends; the arrays belong to the caller. */
+/* Leaves out the checkpoints that exceed @left bytes; the next reports begin
+   with these. */
 static void
-fill_runs (hk_sync_args *args, const struct hk_runner *r, hk_run_report *runs,
+limit_checkpoints (hk_sync_args *args, struct hk_runner *r, size_t left)
+{
+  u_int n = args->runs.runs_len;
+  u_int first = n > 0 ? r->checkpoint_cursor % n : 0;
+  gboolean left_out = FALSE;
+
+  for (u_int i = 0; i < n; i++)
+    {
+      u_int at = (first + i) % n;
+      hk_run_report *run = &args->runs.runs_val[at];
+      size_t len = run->checkpoint ? strlen (run->checkpoint) : 0;
+
+      if (len <= left)
+        {
+          left -= len;
+          continue;
+        }
+      run->checkpoint = (char *)"";
+      if (!left_out)
+        r->checkpoint_cursor = at;
+      left_out = TRUE;
+    }
+}
+
+/* Fills in live runs and ends; the arrays belong to the caller. An end whose
+   checkpoint has no room is reported as a live run until the ends before it
+   are committed. */
+static void
+fill_runs (hk_sync_args *args, struct hk_runner *r, hk_run_report *runs,
            hk_run_end *ends)
 {
   const struct runner_run *run;
+  size_t left = REPORT_CHECKPOINTS_MAX_BYTES;
 
   TAILQ_FOREACH (run, &r->runs, link)
-  if (run->state == RUN_ENDED)
-    fill_end (&ends[args->ends.ends_len++], run);
+  if (run->state == RUN_ENDED && strlen (run->checkpoint) <= left)
+    {
+      left -= strlen (run->checkpoint);
+      fill_end (&ends[args->ends.ends_len++], run);
+    }
   else
     fill_run (&runs[args->runs.runs_len++], run);
   args->runs.runs_val = runs;
   args->ends.ends_val = ends;
+  limit_checkpoints (args, r, left);
 }
 
 static void
--- a/tests/runner/runner_support.c
+++ b/tests/runner/runner_support.c
@@ -128,6 +128,19 @@
   send_request_with_flags (f, coord, kind, 0);
 }
 
+void
+submit_spec (struct fixture *f, int coord, hk_job_spec *spec)
+{
+  hk_job_request_args args = { .kind = HK_JOB_REQUEST_SUBMIT,
+                               .id = (char *)JOB,
+                               .queue = (char *)"batch",
+                               .job = { 1, spec } };
+
+  memset (&f->result, 0, sizeof f->result);
+  hk_coord_request (f->coords[coord], &args, 5000, record_reply, &f->result);
+  test_run_until (is_answered, &f->result);
+}
+
 void
 wait_job_done (struct fixture *f, int coord)
 {
--- a/tests/runner/runner_support.h
+++ b/tests/runner/runner_support.h
@@ -73,6 +73,9 @@
 /** send_request() - the same without flags. */
 void send_request (struct fixture *f, int coord, hk_job_request_kind kind);
 
+/** submit_spec() - submit a job and wait for the reply. */
+void submit_spec (struct fixture *f, int coord, hk_job_spec *spec);
+
 /** wait_job_done() - wait until a coordinator shows JOB as completed. */
 void wait_job_done (struct fixture *f, int coord);
 
--- a/tests/support/memory_runtime.h
+++ b/tests/support/memory_runtime.h
@@ -20,6 +20,8 @@
  * @capacity: runs that it has room for.
  * @rejects_excess: starts beyond @capacity are refused.
  * @stop_ms: duration of a stop.
+ * @checkpoint_bytes: length of the checkpoints that its runs make; 0: none.
+ * @resumed_bytes: longest checkpoint that a start carried.
  * @n_start_calls: starts received.
  * @n_started: runs that started.
  * @n_excess_starts: runs that started beyond @capacity.
@@ -47,6 +49,8 @@
   int capacity;
   gboolean rejects_excess;
   int64_t stop_ms;
+  size_t checkpoint_bytes;
+  size_t resumed_bytes;
   int n_start_calls;
   int n_started;
   int n_excess_starts;
