Carry long image names, and refuse what is over a limit at the edge

Cause: request_args_copy and engine_copy_spec copy by encoding, ignored that it failed, and went on with a job id that was NULL. Labels and racks had the same limit, and image names also travel in start orders and in the interference table of a report.

Change: these texts and the names of queues and pools have up to 65,536 bytes, steps up to 4,096. hk_engine_spec_check refuses more with step, field and figures; a copy that fails refuses the request and says so; interference tables are bounded to 1 MiB of names.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -358,7 +358,8 @@
  * @now_ms: current time, hk_clock_ms().
  * @wall_ms: current time of day, milliseconds since 1970.
  *
- * Return: the job; owned by the engine.
+ * Return: the job, owned by the engine; NULL if a field is over its limit in
+ * hk_job.x.
  */
 struct hk_engine_job *hk_engine_submit (struct hk_engine *e,
                                         const hk_job_spec *spec,
--- a/src/coord/coord_interference.c
+++ b/src/coord/coord_interference.c
@@ -203,6 +203,7 @@
 coord_interference_send (struct hk_coord *c, struct coord_link *l,
                          GArray *rows, int64_t now)
 {
+  size_t bytes = 0;
   struct hk_run *s;
   struct hk_run *f;
 
@@ -222,6 +223,9 @@
       if (!(f->task->step->spec->flags & HK_STEP_BEST_EFFORT)
           || has_row (rows, row.serving, row.interfering_image))
         continue;
+      bytes += strlen (row.serving) + strlen (row.interfering_image);
+      if (bytes > HK_JOB_INTERFERENCE_MAX_BYTES)
+        return;
       row.milli = (u_int)(1000
                           * hk_interference_model_get (&c->interference_model,
                                                        row.serving,
--- a/src/coord/coord_request.c
+++ b/src/coord/coord_request.c
@@ -17,6 +17,9 @@
    balancer has detected this one; sooner retries would all come back here. */
 #define ELSEWHERE_RETRY_AFTER_S 1
 
+/* Reason of a refusal: a field is over its limit in hk_job.x. */
+#define NOT_ENCODABLE "a field of the job is over its limit"
+
 /* A request made by this process, tried until it is answered or times out. */
 struct coord_request
 {
@@ -24,6 +27,7 @@
   hk_job_request_args args;
   int64_t received_ms;
   int64_t deadline_ms;
+  gboolean encodable; /* @args could be copied */
   gboolean delivered; /* may have reached a coordinator */
   gboolean in_flight; /* an attempt is */
   gboolean finished;  /* answered; released when the attempt in flight ends */
@@ -191,6 +195,15 @@
           return;
         }
       job = hk_engine_submit (&c->engine, spec, now, coord_wall_ms ());
+      if (!job)
+        {
+          hk_log (HK_LOG_ERROR, "coord", NULL, args->id,
+                  "event=refused queue=%s why=\"%s\"; a check where jobs "
+                  "enter is missing",
+                  args->queue, NOT_ENCODABLE);
+          reply_now (done, user, HK_JOB_REQUEST_REFUSED, NOT_ENCODABLE, 0);
+          return;
+        }
       hk_log (HK_LOG_INFO, "coord", NULL, args->id,
               "event=accepted queue=%s urgency=%u steps=%u tasks=%u",
               spec->queue, spec->urgency, spec->steps.steps_len, job->n_tasks);
@@ -362,16 +375,27 @@
   request_finish (q, &reply);
 }
 
+static void
+request_refuse (struct coord_request *q, const char *reason)
+{
+  hk_job_request_reply reply
+      = { .outcome = HK_JOB_REQUEST_REFUSED, .reason = (char *)reason };
+
+  request_finish (q, &reply);
+}
+
 static void
 on_request_timer (void *user)
 {
   struct coord_request *q = user;
   int64_t now = hk_clock_ms ();
 
-  if (now >= q->deadline_ms || q->c->ends_requests
-      || (!q->delivered && !q->in_flight
-          && (now - q->received_ms >= UNDELIVERED_TIMEOUT_MS
-              || coord_isolated (q->c, now))))
+  if (!q->encodable)
+    request_refuse (q, NOT_ENCODABLE);
+  else if (now >= q->deadline_ms || q->c->ends_requests
+           || (!q->delivered && !q->in_flight
+               && (now - q->received_ms >= UNDELIVERED_TIMEOUT_MS
+                   || coord_isolated (q->c, now))))
     request_abandon (q);
   else
     request_attempt (q);
@@ -461,7 +485,8 @@
     request_timer_set (q, RETRY_MS);
 }
 
-static void
+/* Returns FALSE, with @out zeroed, if a field is over its limit. */
+static gboolean
 request_args_copy (hk_job_request_args *out, const hk_job_request_args *in)
 {
   size_t size = xdr_sizeof ((xdrproc_t)xdr_hk_job_request_args, (void *)in);
@@ -470,16 +495,15 @@
 
   xdrmem_create (&xdr, bytes, (u_int)size, XDR_ENCODE);
   if (!xdr_hk_job_request_args (&xdr, (hk_job_request_args *)in))
-    return;
+    {
+      hk_log (HK_LOG_ERROR, "ask", NULL, in->id,
+              "event=request_rejected kind=%d bytes=%zu why=\"%s\"; a check "
+              "where jobs enter is missing",
+              in->kind, size, NOT_ENCODABLE);
+      return FALSE;
+    }
   xdrmem_create (&xdr, bytes, xdr_getpos (&xdr), XDR_DECODE);
-  if (!xdr_hk_job_request_args (&xdr, out))
-    hk_log (HK_LOG_ERROR, "ask", NULL, in->id, "request could not be copied");
-}
-
-static void
-on_first_attempt (void *user)
-{
-  on_request_timer (user);
+  return xdr_hk_job_request_args (&xdr, out);
 }
 
 void
@@ -493,9 +517,9 @@
   q->deadline_ms = q->received_ms + timeout_ms;
   q->done = done;
   q->user = user;
-  request_args_copy (&q->args, args);
+  q->encodable = request_args_copy (&q->args, args);
   LIST_INSERT_HEAD (&c->requests, q, link);
-  hk_timer_set (&q->timer, 0, on_first_attempt, q);
+  hk_timer_set (&q->timer, 0, on_request_timer, q);
 }
 
 void
--- a/src/engine/engine.c
+++ b/src/engine/engine.c
@@ -192,7 +192,8 @@
   hk_job_spec copy = { 0 };
   struct hk_engine_job *job;
 
-  engine_copy_spec (&copy, spec);
+  if (engine_copy_spec (&copy, spec) < 0)
+    return NULL;
   job = engine_job_new (e, &copy);
   job->accepted_ms = now_ms;
   job->accepted_wall_ms = wall_ms;
--- a/src/engine/engine_check.c
+++ b/src/engine/engine_check.c
@@ -1,6 +1,8 @@
 /* Validation of submissions, before anything of them is stored. */
 #include "hyssopkeel/engine.h"
 
+#include <string.h>
+
 /* The progress of a job with more tasks would not fit one record of the
    store. */
 #define JOB_TASKS_MAX 20000
@@ -8,11 +10,30 @@
 #define FAIL(...)                                                             \
   hk_error_set (err, HK_ERR_INVALID, "job.check", spec->id, __VA_ARGS__)
 
+static int
+check_text (const hk_job_spec *spec, unsigned step, const char *field,
+            const char *text, struct hk_error *err)
+{
+  size_t len = strlen (text);
+
+  if (len > HK_JOB_TEXT_MAX)
+    return FAIL ("step %u: %s has %zu bytes, at most %d are allowed", step,
+                 field, len, HK_JOB_TEXT_MAX);
+  return HK_OK;
+}
+
 static int
 check_step (const hk_job_spec *spec, unsigned i, struct hk_error *err)
 {
   const hk_step_spec *step = &spec->steps.steps_val[i];
+  int rc = check_text (spec, i, "label", step->label, err);
 
+  if (rc == HK_OK)
+    rc = check_text (spec, i, "rack", step->rack, err);
+  if (rc == HK_OK)
+    rc = check_text (spec, i, "image", step->image, err);
+  if (rc < 0)
+    return rc;
   if (step->count == 0)
     return FAIL ("step %u: count must be at least 1", i);
   if (step->cpu_milli == 0 && step->memory_mb == 0 && step->accelerators == 0)
--- a/src/engine/engine_priv.h
+++ b/src/engine/engine_priv.h
@@ -19,7 +19,8 @@
 void engine_crashes_load (struct hk_engine_job *job,
                           const hk_job_crashes *list);
 
-/* Deep copy, to be released with xdr_free(). */
-void engine_copy_spec (hk_job_spec *out, const hk_job_spec *spec);
+/* Deep copy, to be released with xdr_free(). Returns HK_ERR_TOO_BIG and leaves
+   @out zeroed if a field is over its limit. */
+int engine_copy_spec (hk_job_spec *out, const hk_job_spec *spec);
 
 #endif
--- a/src/engine/engine_record.c
+++ b/src/engine/engine_record.c
@@ -62,15 +62,16 @@
   return proc (&xdr, out) ? HK_OK : HK_ERR_PROTOCOL;
 }
 
-void
+int
 engine_copy_spec (hk_job_spec *out, const hk_job_spec *spec)
 {
   g_autofree char *bytes = NULL;
   size_t len = 0;
+  int rc = encode (&bytes, &len, (xdrproc_t)xdr_hk_job_spec, (void *)spec);
 
   memset (out, 0, sizeof *out);
-  if (encode (&bytes, &len, (xdrproc_t)xdr_hk_job_spec, (void *)spec) == HK_OK)
-    decode (out, (xdrproc_t)xdr_hk_job_spec, bytes, len);
+  return rc == HK_OK ? decode (out, (xdrproc_t)xdr_hk_job_spec, bytes, len)
+                     : rc;
 }
 
 int
--- a/src/rpc/hk_job.x
+++ b/src/rpc/hk_job.x
@@ -7,9 +7,11 @@
 const HK_JOB_NAME_MAX = 200;
 const HK_JOB_TEXT_MAX = 65536;
 const HK_JOB_PAYLOAD_MAX = 1048576;
-const HK_JOB_STEPS_MAX = 256;
+const HK_JOB_STEPS_MAX = 4096;
 const HK_JOB_TASKS_MAX = 65536;
 const HK_JOB_JOBS_MAX = 16;
+/* Names of images in the interference table of one message, bytes. */
+const HK_JOB_INTERFERENCE_MAX_BYTES = 1048576;
 
 /* Bits of the flags of hk_step_spec and hk_start_order. */
 const HK_STEP_CHECKPOINTS = 1;
@@ -27,9 +29,9 @@
   unsigned estimate_ms;
   unsigned flags;
   unsigned after<HK_JOB_STEPS_MAX>;
-  string label<HK_JOB_NAME_MAX>;
-  string rack<HK_JOB_NAME_MAX>;
-  string image<HK_JOB_NAME_MAX>;
+  string label<HK_JOB_TEXT_MAX>;
+  string rack<HK_JOB_TEXT_MAX>;
+  string image<HK_JOB_TEXT_MAX>;
   unsigned per_instance_max;
   unsigned target_ms;
   unsigned max_unavailable;
@@ -38,8 +40,8 @@
 /* A job as submitted. The record never changes. */
 struct hk_job_spec {
   string id<HK_JOB_NAME_MAX>;
-  string queue<HK_JOB_NAME_MAX>;
-  string pool<HK_JOB_NAME_MAX>;
+  string queue<HK_JOB_TEXT_MAX>;
+  string pool<HK_JOB_TEXT_MAX>;
   unsigned urgency;
   unsigned max_attempts;
   unsigned stretch_milli;
@@ -74,7 +76,7 @@
   unsigned state;
   hyper accepted_ms;
   hyper ended_ms;
-  string queue<HK_JOB_NAME_MAX>;
+  string queue<HK_JOB_TEXT_MAX>;
   hk_place_name places<HK_JOB_TASKS_MAX>;
   hk_task_progress tasks<HK_JOB_TASKS_MAX>;
 };
@@ -136,8 +138,8 @@
 
 /* Interference that images of best-effort tasks cause to service images. */
 struct hk_interference_row {
-  string serving<HK_JOB_NAME_MAX>;
-  string interfering_image<HK_JOB_NAME_MAX>;
+  string serving<HK_JOB_TEXT_MAX>;
+  string interfering_image<HK_JOB_TEXT_MAX>;
   unsigned milli;
 };
 
@@ -171,7 +173,7 @@
   unsigned accelerators;
   unsigned flags;
   unsigned target_ms;
-  string image<HK_JOB_NAME_MAX>;
+  string image<HK_JOB_TEXT_MAX>;
   string checkpoint<HK_JOB_TEXT_MAX>;
   opaque payload<HK_JOB_PAYLOAD_MAX>;
 };
@@ -204,7 +206,7 @@
 struct hk_job_request_args {
   hk_job_request_kind kind;
   string id<HK_JOB_NAME_MAX>;
-  string queue<HK_JOB_NAME_MAX>;
+  string queue<HK_JOB_TEXT_MAX>;
   hk_job_spec job<1>;
 };
 
--- a/src/rpc/hk_job_xdr.c
+++ b/src/rpc/hk_job_xdr.c
@@ -38,11 +38,11 @@
 		 if (!xdr_array (xdrs, (char **)&objp->after.after_val, (u_int *) &objp->after.after_len, HK_JOB_STEPS_MAX,
 			sizeof (u_int), (xdrproc_t) xdr_u_int))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->label, HK_JOB_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->label, HK_JOB_TEXT_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->rack, HK_JOB_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->rack, HK_JOB_TEXT_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->image, HK_JOB_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->image, HK_JOB_TEXT_MAX))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
@@ -85,11 +85,11 @@
 		 if (!xdr_array (xdrs, (char **)&objp->after.after_val, (u_int *) &objp->after.after_len, HK_JOB_STEPS_MAX,
 			sizeof (u_int), (xdrproc_t) xdr_u_int))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->label, HK_JOB_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->label, HK_JOB_TEXT_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->rack, HK_JOB_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->rack, HK_JOB_TEXT_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->image, HK_JOB_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->image, HK_JOB_TEXT_MAX))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
@@ -122,11 +122,11 @@
 	 if (!xdr_array (xdrs, (char **)&objp->after.after_val, (u_int *) &objp->after.after_len, HK_JOB_STEPS_MAX,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->label, HK_JOB_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->label, HK_JOB_TEXT_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->rack, HK_JOB_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->rack, HK_JOB_TEXT_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->image, HK_JOB_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->image, HK_JOB_TEXT_MAX))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->per_instance_max))
 		 return FALSE;
@@ -146,9 +146,9 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_string (xdrs, &objp->id, HK_JOB_NAME_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->queue, HK_JOB_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->queue, HK_JOB_TEXT_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->pool, HK_JOB_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->pool, HK_JOB_TEXT_MAX))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
@@ -183,9 +183,9 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->id, HK_JOB_NAME_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->queue, HK_JOB_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->queue, HK_JOB_TEXT_MAX))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->pool, HK_JOB_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->pool, HK_JOB_TEXT_MAX))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
@@ -221,9 +221,9 @@
 
 	 if (!xdr_string (xdrs, &objp->id, HK_JOB_NAME_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->queue, HK_JOB_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->queue, HK_JOB_TEXT_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->pool, HK_JOB_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->pool, HK_JOB_TEXT_MAX))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->urgency))
 		 return FALSE;
@@ -347,7 +347,7 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->ended_ms))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->queue, HK_JOB_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->queue, HK_JOB_TEXT_MAX))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->places.places_val, (u_int *) &objp->places.places_len, HK_JOB_TASKS_MAX,
 		sizeof (hk_place_name), (xdrproc_t) xdr_hk_place_name))
@@ -566,9 +566,9 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->serving, HK_JOB_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->serving, HK_JOB_TEXT_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->interfering_image, HK_JOB_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->interfering_image, HK_JOB_TEXT_MAX))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->milli))
 		 return FALSE;
@@ -772,7 +772,7 @@
 		IXDR_PUT_U_LONG(buf, objp->flags);
 		IXDR_PUT_U_LONG(buf, objp->target_ms);
 		}
-		 if (!xdr_string (xdrs, &objp->image, HK_JOB_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->image, HK_JOB_TEXT_MAX))
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_TEXT_MAX))
 			 return FALSE;
@@ -805,7 +805,7 @@
 		objp->flags = IXDR_GET_U_LONG(buf);
 		objp->target_ms = IXDR_GET_U_LONG(buf);
 		}
-		 if (!xdr_string (xdrs, &objp->image, HK_JOB_NAME_MAX))
+		 if (!xdr_string (xdrs, &objp->image, HK_JOB_TEXT_MAX))
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_TEXT_MAX))
 			 return FALSE;
@@ -828,7 +828,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->target_ms))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->image, HK_JOB_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->image, HK_JOB_TEXT_MAX))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->checkpoint, HK_JOB_TEXT_MAX))
 		 return FALSE;
@@ -896,7 +896,7 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->id, HK_JOB_NAME_MAX))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->queue, HK_JOB_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->queue, HK_JOB_TEXT_MAX))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->job.job_val, (u_int *) &objp->job.job_len, 1,
 		sizeof (hk_job_spec), (xdrproc_t) xdr_hk_job_spec))
--- a/src/runner/runner_sync.c
+++ b/src/runner/runner_sync.c
@@ -325,16 +325,27 @@
   args->accelerators = r->accelerators;
 }
 
+struct interference_rows
+{
+  GArray *rows;
+  size_t bytes; /* of their names */
+};
+
 static void
 append_interference_row (const char *serving, const char *interfering_image,
                          double value, void *user)
 {
+  struct interference_rows *list = user;
   hk_interference_row row = { .serving = (char *)serving,
                               .interfering_image = (char *)interfering_image,
                               .milli = (u_int)(1000 * value) };
+  size_t bytes = strlen (serving) + strlen (interfering_image);
 
-  if (((GArray *)user)->len < HK_JOB_TASKS_MAX)
-    g_array_append_val ((GArray *)user, row);
+  if (list->rows->len == HK_JOB_TASKS_MAX
+      || list->bytes + bytes > HK_JOB_INTERFERENCE_MAX_BYTES)
+    return;
+  list->bytes += bytes;
+  g_array_append_val (list->rows, row);
 }
 
 /* The interference table is kept by the coordinator in memory only. Agents
@@ -342,9 +353,11 @@
 static void
 fill_interference (hk_sync_args *args, const struct hk_runner *r, GArray *rows)
 {
+  struct interference_rows list = { .rows = rows };
+
   if (r->interference_term != r->term)
     hk_interference_model_foreach (&r->interference, append_interference_row,
-                                   rows);
+                                   &list);
   args->interference_estimates.interference_estimates_len = rows->len;
   args->interference_estimates.interference_estimates_val
       = (hk_interference_row *)rows->data;
--- a/tests/runner/test_limits.c
+++ b/tests/runner/test_limits.c
@@ -1,6 +1,8 @@
 /* Texts of any length on the way from an endpoint to the coordinator and back:
    what is over a limit costs only itself. */
 #include <glib.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include "hyssopkeel/log.h"
 #include "runner_support.h"
@@ -74,6 +76,48 @@
   fixture_finish (&f);
 }
 
+static void
+set_image (hk_step_spec *step, char letter, size_t bytes)
+{
+  free (step->image);
+  step->image = malloc (bytes + 1);
+  memset (step->image, letter, bytes);
+  step->image[bytes] = 0;
+}
+
+/* Guards against agents that a new coordinator never hears of: they hand it
+   the interference table, and image names over 200 bytes did not encode. */
+static void
+long_image_names_reach_a_new_coordinator (void)
+{
+  const unsigned counts[] = { 1, 1, 0 };
+  hk_job_spec *spec = test_job_spec_new (JOB, counts, 0);
+  struct fixture f;
+
+  spec->steps.steps_val[0].flags = HK_STEP_SERVICE;
+  spec->steps.steps_val[0].target_ms = 100;
+  spec->steps.steps_val[1].flags = HK_STEP_BEST_EFFORT;
+  spec->steps.steps_val[1].after.after_len = 0;
+  set_image (&spec->steps.steps_val[0], 's', 300);
+  set_image (&spec->steps.steps_val[1], 'b', HK_JOB_TEXT_MAX);
+  fixture_init (&f);
+  f.rt.work_ms = 60000;
+  submit_spec (&f, 0, spec);
+  test_run_until (two_running, &f.rt);
+  /* Time for the table to reach the agent. */
+  test_run_for (1500);
+  hk_coord_free (f.coords[0]);
+  f.coords[0] = NULL;
+  f.coords[1] = coord_start (&f.views[1], "e2");
+  test_run_until (is_leading, f.coords[1]);
+  /* Longer than the leases last without a grant of the new coordinator. */
+  test_run_for (4000);
+  g_assert_cmpint (memory_runtime_n_running (&f.rt), ==, 2);
+  g_assert_cmpint (f.rt.n_started, ==, 2);
+  test_job_spec_free (spec);
+  fixture_finish (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -84,5 +128,6 @@
   ADD (long_checkpoints_are_carried);
   ADD (checkpoints_over_the_limit_cost_only_themselves);
   ADD (wide_jobs_with_long_checkpoints_complete);
+  ADD (long_image_names_reach_a_new_coordinator);
   return g_test_run ();
 }
