Bound the records of a job, and never count one as stored that is not

A job whose record did not encode, or was over the limit of the store's values, was left out of the commit without a line, and its client was told 200: after a takeover it is gone.

Change: record_max_bytes (768 KiB by default, 1 MiB in base64). A submission over it is refused with 400 and the figures; checkpoints that do not fit are left out of the record, last tasks first, and kept in memory; a record that does not encode stays out of the commit with its key in the log, and a job that was never stored is refused.

Evidence: /submission_limits/jobs_over_the_limit_of_a_record_are_refused got 200 before; /engine/checkpoints_beyond_a_record_are_left_out cannot build on the old code, whose record had all 2.6 MB by reading.

--- a/include/hyssopkeel/coord.h
+++ b/include/hyssopkeel/coord.h
@@ -2,6 +2,7 @@
 #define HYSSOPKEEL_COORD_H
 
 #include "hyssopkeel/authority.h"
+#include "hyssopkeel/engine.h"
 #include "hyssopkeel/hk_job_xdr.h"
 #include "hyssopkeel/store.h"
 
@@ -13,6 +14,7 @@
  * @address: "ip:port" at which the others reach its RPC server.
  * @authority: durations of its own authority, lease grants and leases.
  * @keep_ended_ms: retention period of the state of an ended job.
+ * @record_max_bytes: limit of each record of a job in the store.
  * @capacity_score_percent: capacity score: processor and bandwidth of this
  * machine relative to what a coordinator should have, percent; values above
  * 100 count as 100. The machine with the higher score leads.
@@ -23,13 +25,15 @@
   const char *address;
   struct hk_authority authority;
   int64_t keep_ended_ms;
+  size_t record_max_bytes;
   unsigned capacity_score_percent;
 };
 
 #define HK_COORD_OPTIONS_INIT                                                 \
   {                                                                           \
     .authority = { .own_ms = 12000, .grant_ms = 2500, .hold_ms = 4000 },      \
-    .keep_ended_ms = 150000, .capacity_score_percent = 100                    \
+    .keep_ended_ms = 150000, .record_max_bytes = HK_ENGINE_RECORD_MAX_BYTES,  \
+    .capacity_score_percent = 100                                             \
   }
 
 /**
@@ -70,6 +74,9 @@
  * return. */
 void hk_coord_free (struct hk_coord *c);
 
+/** hk_coord_record_max_bytes() - limit of each record of a job. */
+size_t hk_coord_record_max_bytes (const struct hk_coord *c);
+
 /** hk_coord_leading() - whether this process leads and has loaded all jobs. */
 gboolean hk_coord_leading (const struct hk_coord *c);
 
--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -191,6 +191,9 @@
  * @order_ms: time at which @order was computed.
  * @order_version: @version for which @order was computed.
  * @dirty: it has changes that no commit carries yet.
+ * @n_checkpoints_left_out: checkpoints that its last record had no room for; a
+ *                          successor starts these tasks from the beginning.
+ * @records_too_big: its last records were over the limit and were not sent.
  * @user: list of callers that wait for a commit; owned by the coordinator.
  */
 struct hk_engine_job
@@ -213,6 +216,8 @@
   unsigned n_tasks;
   unsigned n_runs;
   unsigned n_watched;
+  unsigned n_checkpoints_left_out;
+  gboolean records_too_big;
   struct hk_engine_step *steps;
   double run_time_ratio_sum;
   unsigned run_time_samples;
@@ -306,6 +311,10 @@
   TAILQ_ENTRY (hk_instance) next;
 };
 
+/** HK_ENGINE_RECORD_MAX_BYTES - default limit of a record, bytes. Fits the 1
+ * MiB of the platform's store also where that counts the base64 text. */
+#define HK_ENGINE_RECORD_MAX_BYTES 786432
+
 /**
  * struct hk_engine - jobs, their runs and the instances they run on.
  *
@@ -321,6 +330,7 @@
  * @instance_list: the same as @instances, in order of creation.
  * @cursor: next instance in turn as a candidate; NULL for the first one.
  * @n_watched: watched runs on all instances.
+ * @record_max_bytes: limit of each record of a job in the store.
  */
 struct hk_engine
 {
@@ -333,6 +343,7 @@
   struct hk_instance *cursor;
   unsigned n_watched;
   unsigned n_dirty;
+  size_t record_max_bytes;
 };
 
 /** hk_engine_init() - initialize an engine that the caller has allocated. */
@@ -344,11 +355,13 @@
 /**
  * hk_engine_spec_check() - validate a submission.
  * @spec: submission.
+ * @record_max_bytes: limit of its record in the store.
  * @err: filled with the violated rule on failure.
  *
  * Return: 0 or HK_ERR_INVALID.
  */
-int hk_engine_spec_check (const hk_job_spec *spec, struct hk_error *err);
+int hk_engine_spec_check (const hk_job_spec *spec, size_t record_max_bytes,
+                          struct hk_error *err);
 
 /**
  * hk_engine_submit() - add a new job, which is dirty afterwards.
@@ -464,9 +477,10 @@
                            const struct hk_engine_job *job);
 
 /** hk_engine_encode_progress() - like hk_engine_encode_spec(), for the
- * progress of the job. */
+ * progress of the job. Checkpoints beyond the limit of a record are left out
+ * and counted in @n_checkpoints_left_out of the job. */
 int hk_engine_encode_progress (char **out, size_t *len,
-                               const struct hk_engine_job *job);
+                               struct hk_engine_job *job);
 
 /**
  * hk_engine_job_load() - restore a job from its records in the store.
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -14,6 +14,13 @@
   return g_get_real_time () / 1000;
 }
 
+void
+coord_engine_init (struct hk_coord *c)
+{
+  hk_engine_init (&c->engine);
+  c->engine.record_max_bytes = c->record_max_bytes;
+}
+
 /* To be called first by the callback of each store call. Returns TRUE if the
    coordinator has been freed and the callback must not use it any more. */
 gboolean
@@ -147,7 +154,8 @@
                                    COORD_CAPACITY_SCORE_MAX_PERCENT);
   LIST_INIT (&c->requests);
   TAILQ_INIT (&c->predecessors);
-  hk_engine_init (&c->engine);
+  c->record_max_bytes = options->record_max_bytes;
+  coord_engine_init (c);
   coord_commit_init (c);
   coord_estimates_init (c);
   hk_interference_model_init (&c->interference_model);
@@ -222,6 +230,12 @@
          && now - c->leader_unreachable_since_ms > ISOLATED_MS;
 }
 
+size_t
+hk_coord_record_max_bytes (const struct hk_coord *c)
+{
+  return c->record_max_bytes;
+}
+
 gboolean
 hk_coord_leading (const struct hk_coord *c)
 {
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -23,6 +23,8 @@
    cover the few seconds that such a task takes. */
 #define COORD_HORIZONS 3
 
+/* Retry-After while commits fail: outages of the store last seconds. */
+#define COORD_STORE_RETRY_AFTER_S 2
 /* Capacity scores are capped at this. */
 #define COORD_CAPACITY_SCORE_MAX_PERCENT 100
 
@@ -162,6 +164,7 @@
   char *address;
   struct hk_authority authority;
   int64_t keep_ended_ms;
+  size_t record_max_bytes;
   unsigned capacity_score_percent;
 
   enum coord_state state;
@@ -284,7 +287,8 @@
                            hk_coord_request_done done, void *user);
 void coord_waiters_notify (struct hk_engine_job *job);
 void coord_waiters_drop (struct hk_engine_job *job);
-void coord_waiters_refuse (struct hk_engine_job *job);
+void coord_waiters_refuse (struct hk_engine_job *job, const char *reason,
+                           unsigned retry_after_s);
 void coord_requests_retry (struct hk_coord *c);
 void coord_requests_drop (struct hk_coord *c);
 
@@ -376,6 +380,7 @@
                       unsigned *retry_after_s, const char **reason);
 
 /* coord.c */
+void coord_engine_init (struct hk_coord *c);
 gboolean coord_isolated (const struct hk_coord *c, int64_t now);
 gboolean coord_store_call_end (struct hk_coord *c);
 void coord_pass_schedule (struct hk_coord *c);
--- a/src/coord/coord_commit.c
+++ b/src/coord/coord_commit.c
@@ -95,27 +95,62 @@
   b->bytes += len;
 }
 
-static void
+/* Returns a negative code, and adds nothing, if a record of the job is over
+   its limit. */
+static int
 builder_add_job (struct txn_builder *b, struct hk_engine_job *job)
 {
   gboolean live = hk_engine_job_active (job) || job->n_runs > 0;
-  char *bytes = NULL;
+  unsigned left_out = job->n_checkpoints_left_out;
+  g_autofree char *spec = NULL;
+  char *progress = NULL;
+  size_t spec_len = 0;
   size_t len = 0;
+  int rc = HK_OK;
 
-  if (live && !job->spec_stored
-      && hk_engine_encode_spec (&bytes, &len, job) == HK_OK)
+  if (live && !job->spec_stored)
+    rc = hk_engine_encode_spec (&spec, &spec_len, job);
+  if (rc == HK_OK)
+    rc = hk_engine_encode_progress (&progress, &len, job);
+  if (rc < 0)
+    return rc;
+  if (left_out == 0 && job->n_checkpoints_left_out > 0)
+    hk_log (HK_LOG_WARN, "coord", NULL, job->spec.id,
+            "event=checkpoints_not_stored tasks=%u bytes=%zu limit=%zu; a "
+            "successor starts these tasks from the beginning",
+            job->n_checkpoints_left_out, len, job->engine->record_max_bytes);
+  if (spec)
     builder_add (b, HK_STORE_PUT,
-                 g_strconcat (HK_KEY_SPECS, job->spec.id, NULL), bytes, len);
+                 g_strconcat (HK_KEY_SPECS, job->spec.id, NULL),
+                 g_steal_pointer (&spec), spec_len);
   else if (!live && job->spec_stored)
     builder_add (b, HK_STORE_DELETE,
                  g_strconcat (HK_KEY_SPECS, job->spec.id, NULL), NULL, 0);
-  if (hk_engine_encode_progress (&bytes, &len, job) == HK_OK)
-    builder_add (b, HK_STORE_PUT,
-                 g_strconcat (HK_KEY_PROGRESS, job->spec.id, NULL), bytes,
-                 len);
+  builder_add (b, HK_STORE_PUT,
+               g_strconcat (HK_KEY_PROGRESS, job->spec.id, NULL), progress,
+               len);
   job->sent_version = job->version;
   job->sent_state = job->state;
   job->sent_keeps_spec = live;
+  return HK_OK;
+}
+
+/* A job that was never stored is refused. One that was keeps its last record,
+   and places nothing more until a record fits again. */
+static void
+job_too_big (struct hk_engine_job *job)
+{
+  if (!job->records_too_big)
+    hk_log (HK_LOG_ERROR, "coord", NULL, job->spec.id,
+            "event=record_too_big key=" HK_KEY_PROGRESS "%s limit=%zu "
+            "stored=%d; the commit goes on without it",
+            job->spec.id, job->engine->record_max_bytes,
+            job->committed_version > 0);
+  job->records_too_big = TRUE;
+  if (job->sent_version > 0 || job->committed_version > 0)
+    return;
+  coord_waiters_refuse (job, "the job is over the limit of a record", 0);
+  hk_engine_job_remove (job);
 }
 
 /* While commits fail, jobs that no commit has contained yet are held back:
@@ -138,7 +173,12 @@
       TAILQ_REMOVE (&e->dirty, job, dirty_link);
       job->dirty = FALSE;
       e->n_dirty--;
-      builder_add_job (b, job);
+      if (builder_add_job (b, job) < 0)
+        {
+          job_too_big (job);
+          continue;
+        }
+      job->records_too_big = FALSE;
       g_ptr_array_add (c->commit.jobs, job);
     }
   for (guint i = 0; i < c->commit.expired->len && b->rows < TXN_ROWS_MAX; i++)
@@ -163,7 +203,8 @@
               "event=job_dropped why=\"the store does not answer\" "
               "age_ms=%" G_GINT64_FORMAT,
               hk_clock_ms () - job->accepted_ms);
-      coord_waiters_refuse (job);
+      coord_waiters_refuse (job, "the store does not answer",
+                            COORD_STORE_RETRY_AFTER_S);
       hk_engine_job_remove (job);
     }
 }
--- a/src/coord/coord_lead.c
+++ b/src/coord/coord_lead.c
@@ -286,7 +286,7 @@
   coord_links_drop (c);
   waiters_drop_all (c);
   hk_engine_finish (&c->engine);
-  hk_engine_init (&c->engine);
+  coord_engine_init (c);
   coord_commit_finish (c);
   coord_commit_init (c);
   g_clear_pointer (&c->leader.name, g_free);
--- a/src/coord/coord_request.c
+++ b/src/coord/coord_request.c
@@ -11,8 +11,6 @@
 /* Time limit of one forwarded attempt; an unresponsive connection is detected
    by then. */
 #define ATTEMPT_TIMEOUT_MS 1500
-/* Retry-After while commits fail: outages of the store last seconds. */
-#define STORE_RETRY_AFTER_S 2
 /* Retry-After when another process can serve the request, once the load
    balancer has detected this one; sooner retries would all come back here. */
 #define ELSEWHERE_RETRY_AFTER_S 1
@@ -110,11 +108,12 @@
 
 /* For jobs that cannot have been stored. */
 void
-coord_waiters_refuse (struct hk_engine_job *job)
+coord_waiters_refuse (struct hk_engine_job *job, const char *reason,
+                      unsigned retry_after_s)
 {
   hk_job_request_reply reply = { .outcome = HK_JOB_REQUEST_REFUSED,
-                                 .reason = "the store does not answer",
-                                 .retry_after_s = STORE_RETRY_AFTER_S };
+                                 .reason = (char *)reason,
+                                 .retry_after_s = retry_after_s };
 
   waiters_finish_all (job, &reply);
 }
@@ -183,7 +182,7 @@
         {
           reason = "the store does not answer";
           retry_after_s = coord_isolated (c, now) ? ELSEWHERE_RETRY_AFTER_S
-                                                  : STORE_RETRY_AFTER_S;
+                                                  : COORD_STORE_RETRY_AFTER_S;
         }
       if (reason || !coord_admit (c, spec, &retry_after_s, &reason))
         {
@@ -239,10 +238,10 @@
     }
   if (hk_engine_job_active (job) && coord_store_failing (c, hk_clock_ms ()))
     {
-      reply_now (done, user, HK_JOB_REQUEST_REFUSED,
-                 "the store does not answer",
-                 coord_isolated (c, hk_clock_ms ()) ? ELSEWHERE_RETRY_AFTER_S
-                                                    : STORE_RETRY_AFTER_S);
+      reply_now (
+          done, user, HK_JOB_REQUEST_REFUSED, "the store does not answer",
+          coord_isolated (c, hk_clock_ms ()) ? ELSEWHERE_RETRY_AFTER_S
+                                             : COORD_STORE_RETRY_AFTER_S);
       return;
     }
   if (hk_engine_job_active (job))
--- a/src/engine/engine.c
+++ b/src/engine/engine.c
@@ -17,6 +17,7 @@
   TAILQ_INIT (&e->ended);
   TAILQ_INIT (&e->dirty);
   TAILQ_INIT (&e->instance_list);
+  e->record_max_bytes = HK_ENGINE_RECORD_MAX_BYTES;
 }
 
 static const hk_step_spec *
--- a/src/engine/engine_check.c
+++ b/src/engine/engine_check.c
@@ -1,6 +1,7 @@
 /* Validation of submissions, before anything of them is stored. */
 #include "hyssopkeel/engine.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 /* The progress of a job with more tasks would not fit one record of the
@@ -46,9 +47,11 @@
 }
 
 int
-hk_engine_spec_check (const hk_job_spec *spec, struct hk_error *err)
+hk_engine_spec_check (const hk_job_spec *spec, size_t record_max_bytes,
+                      struct hk_error *err)
 {
   uint64_t tasks = 0;
+  size_t bytes;
   int rc = HK_OK;
 
   if (spec->steps.steps_len == 0)
@@ -59,6 +62,12 @@
       tasks += spec->steps.steps_val[i].count;
     }
   if (rc == HK_OK && tasks > JOB_TASKS_MAX)
-    return FAIL ("a job may have at most %d tasks", JOB_TASKS_MAX);
+    return FAIL ("the job has %" PRIu64 " tasks, at most %d are allowed",
+                 tasks, JOB_TASKS_MAX);
+  bytes = xdr_sizeof ((xdrproc_t)xdr_hk_job_spec, (void *)spec);
+  if (rc == HK_OK && bytes > record_max_bytes)
+    return FAIL ("the job takes %zu bytes in the store, at most %zu are "
+                 "allowed",
+                 bytes, record_max_bytes);
   return rc;
 }
--- a/src/engine/engine_record.c
+++ b/src/engine/engine_record.c
@@ -74,11 +74,26 @@
                      : rc;
 }
 
+static int
+encode_record (char **out, size_t *len, const struct hk_engine *e,
+               xdrproc_t proc, void *value)
+{
+  int rc = encode (out, len, proc, value);
+
+  if (rc == HK_OK && *len > e->record_max_bytes)
+    {
+      g_clear_pointer (out, g_free);
+      rc = HK_ERR_TOO_BIG;
+    }
+  return rc;
+}
+
 int
 hk_engine_encode_spec (char **out, size_t *len,
                        const struct hk_engine_job *job)
 {
-  return encode (out, len, (xdrproc_t)xdr_hk_job_spec, (void *)&job->spec);
+  return encode_record (out, len, job->engine, (xdrproc_t)xdr_hk_job_spec,
+                        (void *)&job->spec);
 }
 
 /* Returns the index of the run's place in @places from 1, as 0 means none, and
@@ -139,9 +154,36 @@
   return tasks;
 }
 
+static size_t
+padded_length (const char *text)
+{
+  return RNDUP (strlen (text));
+}
+
+/* Leaves out the checkpoints of the last tasks as far as the record would be
+   over its limit. Returns their number. */
+static unsigned
+limit_checkpoints (struct progress_record *r, const struct hk_engine *e)
+{
+  size_t bytes = xdr_sizeof ((xdrproc_t)xdr_progress_record, r);
+  unsigned left_out = 0;
+
+  for (u_int i = r->progress.tasks.tasks_len;
+       i > 0 && bytes > e->record_max_bytes; i--)
+    {
+      hk_task_progress *task = &r->progress.tasks.tasks_val[i - 1];
+
+      if (!*task->checkpoint)
+        continue;
+      bytes -= padded_length (task->checkpoint);
+      task->checkpoint = (char *)"";
+      left_out++;
+    }
+  return left_out;
+}
+
 int
-hk_engine_encode_progress (char **out, size_t *len,
-                           const struct hk_engine_job *job)
+hk_engine_encode_progress (char **out, size_t *len, struct hk_engine_job *job)
 {
   g_autoptr (GPtrArray) places = g_ptr_array_new_with_free_func (g_free);
   g_autofree hk_task_progress *tasks = NULL;
@@ -168,7 +210,9 @@
     names[i].life = places->pdata[i];
   r.progress.places.places_len = places->len;
   r.progress.places.places_val = names;
-  return encode (out, len, (xdrproc_t)xdr_progress_record, &r);
+  job->n_checkpoints_left_out = limit_checkpoints (&r, job->engine);
+  return encode_record (out, len, job->engine, (xdrproc_t)xdr_progress_record,
+                        &r);
 }
 
 static void
--- a/tests/engine/test_engine.c
+++ b/tests/engine/test_engine.c
@@ -200,6 +200,36 @@
   hk_engine_finish (&restored.e);
 }
 
+/* Guards against a job whose progress is no longer stored: the checkpoints of
+   all its tasks share one record, which did not fit. */
+static void
+checkpoints_beyond_a_record_are_left_out (void)
+{
+  g_autofree char *checkpoint = g_strnfill (HK_JOB_TEXT_MAX, 'c');
+  g_autofree char *progress = NULL;
+  const unsigned counts[] = { 40, 0 };
+  struct hk_engine_job *job;
+  struct fixture f;
+  size_t len = 0;
+
+  fixture_init (&f);
+  job = submit (&f, "0123456789abcdef", counts, HK_STEP_CHECKPOINTS);
+  for (unsigned i = 0; i < 40; i++)
+    {
+      hk_engine_task_place (&job->steps[0].tasks[i], f.in, 100);
+      hk_engine_run_end (job->steps[0].tasks[i].runs[0], HK_END_STOPPED,
+                         checkpoint, 150, 1500);
+    }
+  g_assert_cmpint (hk_engine_encode_progress (&progress, &len, job), ==,
+                   HK_OK);
+  g_assert_cmpuint (len, <=, HK_ENGINE_RECORD_MAX_BYTES);
+  g_assert_cmpuint (len, >, HK_ENGINE_RECORD_MAX_BYTES - HK_JOB_TEXT_MAX);
+  g_assert_cmpuint (job->n_checkpoints_left_out, ==, 29);
+  g_assert_cmpuint (strlen (job->steps[0].tasks[39].checkpoint), ==,
+                    HK_JOB_TEXT_MAX);
+  hk_engine_finish (&f.e);
+}
+
 static void
 malformed_records_are_rejected (void)
 {
@@ -221,15 +251,23 @@
   hk_job_spec *spec = test_job_spec_new ("a", counts, 0);
   struct hk_error err = { 0 };
 
-  g_assert_cmpint (hk_engine_spec_check (spec, &err), ==, HK_OK);
+  g_assert_cmpint (
+      hk_engine_spec_check (spec, HK_ENGINE_RECORD_MAX_BYTES, &err), ==,
+      HK_OK);
   spec->steps.steps_val[1].after.after_val[0] = 1;
-  g_assert_cmpint (hk_engine_spec_check (spec, &err), ==, HK_ERR_INVALID);
+  g_assert_cmpint (
+      hk_engine_spec_check (spec, HK_ENGINE_RECORD_MAX_BYTES, &err), ==,
+      HK_ERR_INVALID);
   g_assert_nonnull (strstr (err.text, "step 1"));
   spec->steps.steps_val[1].after.after_val[0] = 0;
   spec->steps.steps_val[0].count = 0;
-  g_assert_cmpint (hk_engine_spec_check (spec, &err), ==, HK_ERR_INVALID);
+  g_assert_cmpint (
+      hk_engine_spec_check (spec, HK_ENGINE_RECORD_MAX_BYTES, &err), ==,
+      HK_ERR_INVALID);
   spec->steps.steps_val[0].count = 1000000;
-  g_assert_cmpint (hk_engine_spec_check (spec, &err), ==, HK_ERR_INVALID);
+  g_assert_cmpint (
+      hk_engine_spec_check (spec, HK_ENGINE_RECORD_MAX_BYTES, &err), ==,
+      HK_ERR_INVALID);
   test_job_spec_free (spec);
 }
 
@@ -248,6 +286,8 @@
   g_test_add_func ("/engine/first_attempt_to_finish_completes_the_task",
                    first_attempt_to_finish_completes_the_task);
   g_test_add_func ("/engine/records_restore_a_job", records_restore_a_job);
+  g_test_add_func ("/engine/checkpoints_beyond_a_record_are_left_out",
+                   checkpoints_beyond_a_record_are_left_out);
   g_test_add_func ("/engine/malformed_records_are_rejected",
                    malformed_records_are_rejected);
   g_test_add_func ("/engine/invalid_submissions_name_the_violated_rule",
--- a/tests/platform/test_limits.c
+++ b/tests/platform/test_limits.c
@@ -51,6 +51,27 @@
   api_fixture_finish (&f);
 }
 
+/* Guards against a job that is accepted and kept nowhere: its record did not
+   fit the store, and the commit went on without it. */
+static void
+jobs_over_the_limit_of_a_record_are_refused (void)
+{
+  g_autofree char *image = g_strnfill (HK_JOB_TEXT_MAX, 'i');
+  g_autoptr (GString) body = g_string_new ("{\"steps\":[");
+  struct api_fixture f;
+
+  api_fixture_init (&f);
+  for (int i = 0; i < 13; i++)
+    g_string_append_printf (body, "%s" STEP_OPEN ",\"image\":\"%s\"}",
+                            i > 0 ? "," : "", image);
+  g_string_append (body, "]}");
+  g_assert_cmpuint (api_send (&f, "POST", API_JOB_PATH, body->str), ==, 400);
+  g_assert_nonnull (strstr (f.body, "bytes in the store"));
+  g_assert_cmpuint (api_send (&f, "GET", API_JOB_PATH, NULL), ==, 410);
+  g_assert_cmpuint (submit_text (&f, "image", 1, 9), ==, 200);
+  api_fixture_finish (&f);
+}
+
 static gboolean
 is_leading (void *user)
 {
@@ -89,5 +110,6 @@
 #define ADD(name) g_test_add_func ("/submission_limits/" #name, name)
   ADD (long_texts_are_carried_and_longer_ones_refused);
   ADD (successors_load_long_texts);
+  ADD (jobs_over_the_limit_of_a_record_are_refused);
   return g_test_run ();
 }
