Carry many and long labels of a liveness report, refuse the rest

Seen by a test: a heartbeat with 65 labels, or with one of 201 bytes, is answered 200, and from then on each report of its agent fails to encode: no job runs there for as long as the endpoint has these labels. The same for a row of a worker's list whose job id is over 200 bytes; run numbers over 32 bits were cut and passed for other runs.

Odd rows of a list are skipped, odd figures are cut to their range.

--- a/src/rpc/hk_job.x
+++ b/src/rpc/hk_job.x
@@ -9,6 +9,8 @@
 const HK_JOB_PAYLOAD_MAX = 1048576;
 const HK_JOB_STEPS_MAX = 4096;
 const HK_JOB_TASKS_MAX = 65536;
+const HK_JOB_LABELS_MAX = 1024;
+const HK_JOB_LABELS_MAX_BYTES = 262144;
 const HK_JOB_JOBS_MAX = 16;
 /* Names of images in the interference table of one message, bytes. */
 const HK_JOB_INTERFERENCE_MAX_BYTES = 1048576;
@@ -133,7 +135,7 @@
 };
 
 struct hk_label {
-  string text<HK_JOB_NAME_MAX>;
+  string text<HK_JOB_TEXT_MAX>;
 };
 
 /* Interference that images of best-effort tasks cause to service images. */
@@ -155,7 +157,7 @@
   unsigned drain_left_ms;
   unsigned final_lease_ms;
   string pool<HK_JOB_NAME_MAX>;
-  hk_label labels<64>;
+  hk_label labels<HK_JOB_LABELS_MAX>;
   unsigned cpu_milli;
   unsigned memory_mb;
   unsigned accelerators;
--- a/src/rpc/hk_job_xdr.c
+++ b/src/rpc/hk_job_xdr.c
@@ -556,7 +556,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->text, HK_JOB_NAME_MAX))
+	 if (!xdr_string (xdrs, &objp->text, HK_JOB_TEXT_MAX))
 		 return FALSE;
 	return TRUE;
 }
@@ -612,7 +612,7 @@
 		}
 		 if (!xdr_string (xdrs, &objp->pool, HK_JOB_NAME_MAX))
 			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, 64,
+		 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, HK_JOB_LABELS_MAX,
 			sizeof (hk_label), (xdrproc_t) xdr_hk_label))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
@@ -670,7 +670,7 @@
 		}
 		 if (!xdr_string (xdrs, &objp->pool, HK_JOB_NAME_MAX))
 			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, 64,
+		 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, HK_JOB_LABELS_MAX,
 			sizeof (hk_label), (xdrproc_t) xdr_hk_label))
 			 return FALSE;
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
@@ -719,7 +719,7 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->pool, HK_JOB_NAME_MAX))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, 64,
+	 if (!xdr_array (xdrs, (char **)&objp->labels.labels_val, (u_int *) &objp->labels.labels_len, HK_JOB_LABELS_MAX,
 		sizeof (hk_label), (xdrproc_t) xdr_hk_label))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->cpu_milli))
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -371,6 +371,44 @@
   scripted_server_stop (&s);
 }
 
+#define LONG_ID                                                               \
+  "0123456789012345678901234567890123456789012345678901234567890123456789"    \
+  "0123456789012345678901234567890123456789012345678901234567890123456789"    \
+  "0123456789012345678901234567890123456789012345678901234567890123456789"
+
+/* Guards against rows that cut the agent off, as their names do not encode,
+   and against rows that pass for others, as their numbers or names are cut. */
+static void
+odd_rows_of_a_list_are_skipped (void)
+{
+  static const struct scripted_response responses[]
+      = { { "/api/hold", 200,
+            "{\"clockMs\":5,\"born\":99,\"running\":["
+            "[\"" LONG_ID ".0.1.2\",3,\"\",41,17],"
+            "[\".0.1.2\",3,\"\",41,17],"
+            "[\"aa.0.1.2\",4294967299,\"\",41,17],"
+            "[\"aa.0.1.2\",-1,\"\",41,17],"
+            "[\"aa.0.1.2\\u0000\",3,\"\",41,17],"
+            "[\"aa.0.1.3\",3,\"\",41,99999999999999]],"
+            "\"finished\":[[-4,\"aa.0.1.9\",1,\"lapsed\",\"\"],"
+            "[5,\"aa.0.1.9\",0,\"lapsed\",\"\"]]}" },
+          { NULL, 0, NULL } };
+  struct scripted_server s;
+  struct worker_client w;
+  struct worker_reply reply = { 0 };
+
+  scripted_server_start (&s, responses);
+  worker_client_init (&w, s.address);
+  w.base.ops->renew (&w.base, 0, 4, 57, 0, on_worker_reply, &reply);
+  test_run_until (worker_reply_arrived, &reply);
+  g_assert_cmpint (reply.rc, ==, HK_OK);
+  g_assert_cmpuint (reply.n_runs, ==, 1);
+  g_assert_cmpuint (reply.figure, ==, G_MAXINT32);
+  g_assert_cmpuint (reply.n_ends, ==, 0);
+  worker_client_finish (&w);
+  scripted_server_stop (&s);
+}
+
 /* Heartbeats and submissions */
 
 struct test_client
@@ -640,6 +678,7 @@
   ADD (txn_outcomes_are_distinguished);
   ADD (config_watch_recovers_from_failures);
   ADD (worker_responses_are_decoded);
+  ADD (odd_rows_of_a_list_are_skipped);
   ADD (invalid_heartbeats_are_rejected);
   ADD (submissions_are_validated_and_stored);
   ADD (settings_errors_name_file_and_path);
