--- a/tests/runner/test_limits.c
+++ b/tests/runner/test_limits.c
@@ -76,6 +76,30 @@
   fixture_finish (&f);
 }
 
+/* Guards against a job that is accepted and never runs: the start orders for
+   one endpoint were over the size of a message. */
+static void
+wide_jobs_with_long_specs_run (void)
+{
+  const unsigned counts[] = { 1200, 0 };
+  hk_job_spec *spec = test_job_spec_new (JOB, counts, 0);
+  struct fixture f;
+
+  spec->steps.steps_val[0].cpu_milli = 3;
+  spec->steps.steps_val[0].memory_mb = 1;
+  free (spec->payload.payload_val);
+  spec->payload.payload_len = 3900;
+  spec->payload.payload_val = calloc (1, spec->payload.payload_len);
+  fixture_init (&f);
+  f.rt.work_ms = 500;
+  submit_spec (&f, 0, spec);
+  wait_job_done (&f, 0);
+  g_assert_cmpint (f.rt.max_concurrent_runs, ==, 1);
+  g_assert_cmpint (f.rt.started_after_done, ==, 0);
+  test_job_spec_free (spec);
+  fixture_finish (&f);
+}
+
 static void
 set_image (hk_step_spec *step, char letter, size_t bytes)
 {
@@ -128,6 +152,7 @@
   ADD (long_checkpoints_are_carried);
   ADD (checkpoints_over_the_limit_cost_only_themselves);
   ADD (wide_jobs_with_long_checkpoints_complete);
+  ADD (wide_jobs_with_long_specs_run);
   ADD (long_image_names_reach_a_new_coordinator);
   return g_test_run ();
 }
