--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -36,18 +36,6 @@
   COORD_LEADING
 };
 
-/* A client that waits until @version of a job is committed. */
-struct coord_waiter
-{
-  uint64_t version;
-  hk_job_request_reply reply;
-  hk_coord_request_done done;
-  void *user;
-  LIST_ENTRY (coord_waiter) link;
-};
-
-LIST_HEAD (coord_waiters, coord_waiter);
-
 /* A reported end of a run, acknowledged to the agent once it is committed. */
 struct coord_end
 {
@@ -285,12 +273,17 @@
 void coord_on_request (struct hk_rpc_request *req, void *args, void *user);
 void coord_request_handle (struct hk_coord *c, const hk_job_request_args *args,
                            hk_coord_request_done done, void *user);
+void coord_requests_retry (struct hk_coord *c);
+void coord_requests_drop (struct hk_coord *c);
+
+/* coord_waiter.c */
+void coord_waiter_add (struct hk_engine_job *job,
+                       const hk_job_request_reply *reply,
+                       hk_coord_request_done done, void *user);
 void coord_waiters_notify (struct hk_engine_job *job);
 void coord_waiters_drop (struct hk_engine_job *job);
 void coord_waiters_refuse (struct hk_engine_job *job, const char *reason,
                            unsigned retry_after_s);
-void coord_requests_retry (struct hk_coord *c);
-void coord_requests_drop (struct hk_coord *c);
 
 /* coord_schedule.c */
 void coord_schedule (struct hk_coord *c, int64_t now);
