Refuse a submission whose cancellation was acknowledged before

Cause: the coordinator answered from what it knew at that moment and kept nothing, so the submission was a new one when it arrived. Class: an answer about the absence of something that may still arrive.

Why it works: the commit that carries the tombstone and one that would accept the job compare the same fence, so whoever leads later has loaded the tombstone.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -190,6 +190,8 @@
  *         @order_version; owned by the coordinator.
  * @order_ms: time at which @order was computed.
  * @order_version: @version for which @order was computed.
+ * @is_tombstone: no such job was ever accepted, and none may be: its id was
+ *                cancelled before.
  * @dirty: it has changes that no commit carries yet.
  * @n_checkpoints_left_out: checkpoints that its last record had no room for; a
  *                          successor starts these tasks from the beginning.
@@ -218,6 +220,7 @@
   unsigned n_watched;
   unsigned n_checkpoints_left_out;
   gboolean records_too_big;
+  gboolean is_tombstone;
   struct hk_engine_step *steps;
   double run_time_ratio_sum;
   unsigned run_time_samples;
@@ -330,6 +333,7 @@
  * @instance_list: the same as @instances, in order of creation.
  * @cursor: next instance in turn as a candidate; NULL for the first one.
  * @n_watched: watched runs on all instances.
+ * @n_tombstones: tombstones among @ended.
  * @record_max_bytes: limit of each record of a job in the store.
  */
 struct hk_engine
@@ -343,6 +347,7 @@
   struct hk_instance *cursor;
   unsigned n_watched;
   unsigned n_dirty;
+  unsigned n_tombstones;
   size_t record_max_bytes;
 };
 
@@ -395,6 +400,24 @@
 void hk_engine_job_cancel (struct hk_engine_job *job, int64_t now_ms,
                            int64_t wall_ms);
 
+/**
+ * hk_engine_tombstone_add() - remember that no job may be submitted under an
+ * id.
+ * @e: engine.
+ * @id: id that no job has.
+ * @queue: queue that the cancellation named.
+ * @now_ms: current time, hk_clock_ms().
+ * @wall_ms: current time of day, milliseconds since 1970.
+ *
+ * It is kept as long as jobs that ended at the same time.
+ *
+ * Return: the tombstone, dirty and owned by the engine; NULL if there are too
+ * many.
+ */
+struct hk_engine_job *
+hk_engine_tombstone_add (struct hk_engine *e, const char *id,
+                         const char *queue, int64_t now_ms, int64_t wall_ms);
+
 /** hk_engine_step_ready() - whether all steps that it depends on are done. */
 gboolean hk_engine_step_ready (const struct hk_engine_step *step);
 
--- a/src/coord/coord_commit.c
+++ b/src/coord/coord_commit.c
@@ -188,24 +188,32 @@
                  NULL, 0);
 }
 
+static void
+drop_if_unsent (struct hk_engine_job *job)
+{
+  if (job->sent_version > 0 || job->committed_version > 0)
+    return;
+  hk_log (HK_LOG_INFO, "coord", NULL, job->spec.id,
+          "event=job_dropped why=\"the store does not answer\" "
+          "age_ms=%" G_GINT64_FORMAT " tombstone=%d",
+          hk_clock_ms ()
+              - (job->is_tombstone ? job->ended_ms : job->accepted_ms),
+          job->is_tombstone);
+  coord_waiters_refuse (job, "the store does not answer",
+                        COORD_STORE_RETRY_AFTER_S);
+  hk_engine_job_remove (job);
+}
+
 void
 coord_commit_drop_unsent (struct hk_coord *c)
 {
   struct hk_engine_job *job;
   struct hk_engine_job *next;
 
-  for (job = TAILQ_FIRST (&c->engine.active); job; job = next)
+  for (job = TAILQ_FIRST (&c->engine.dirty); job; job = next)
     {
-      next = TAILQ_NEXT (job, link);
-      if (job->sent_version > 0 || job->committed_version > 0)
-        continue;
-      hk_log (HK_LOG_INFO, "coord", NULL, job->spec.id,
-              "event=job_dropped why=\"the store does not answer\" "
-              "age_ms=%" G_GINT64_FORMAT,
-              hk_clock_ms () - job->accepted_ms);
-      coord_waiters_refuse (job, "the store does not answer",
-                            COORD_STORE_RETRY_AFTER_S);
-      hk_engine_job_remove (job);
+      next = TAILQ_NEXT (job, dirty_link);
+      drop_if_unsent (job);
     }
 }
 
--- a/src/coord/coord_request.c
+++ b/src/coord/coord_request.c
@@ -18,6 +18,9 @@
 /* Reason of a refusal: a field is over its limit in hk_job.x. */
 #define NOT_ENCODABLE "a field of the job is over its limit"
 
+/* Reason of the refusal of a submission that its cancellation overtook. */
+#define CANCELLED_BEFORE "the job was cancelled before it arrived"
+
 /* A request made by this process, tried until it is answered or times out. */
 struct coord_request
 {
@@ -53,6 +56,15 @@
   done (&reply, user);
 }
 
+static void
+reply_store_failing (struct hk_coord *c, hk_coord_request_done done,
+                     void *user)
+{
+  reply_now (done, user, HK_JOB_REQUEST_REFUSED, "the store does not answer",
+             coord_isolated (c, hk_clock_ms ()) ? ELSEWHERE_RETRY_AFTER_S
+                                                : COORD_STORE_RETRY_AFTER_S);
+}
+
 static void
 handle_submit (struct hk_coord *c, const hk_job_request_args *args,
                hk_coord_request_done done, void *user)
@@ -65,6 +77,15 @@
   unsigned retry_after_s = 0;
   int64_t now = hk_clock_ms ();
 
+  if (job && job->is_tombstone)
+    {
+      hk_log (HK_LOG_INFO, "coord", NULL, args->id,
+              "event=refused queue=%s why=\"" CANCELLED_BEFORE "\" "
+              "cancelled_ms_ago=%" G_GINT64_FORMAT,
+              args->queue, now - job->ended_ms);
+      reply_now (done, user, HK_JOB_REQUEST_REFUSED, CANCELLED_BEFORE, 0);
+      return;
+    }
   if (job && job->committed_version > 0)
     {
       done (&stored, user);
@@ -124,6 +145,42 @@
                0);
 }
 
+/* A submission under this id may still be on its way. The caller is told that
+   there is no such job once a tombstone, which refuses it, is stored. */
+static void
+cancel_unknown (struct hk_coord *c, const hk_job_request_args *args,
+                hk_coord_request_done done, void *user)
+{
+  hk_job_request_reply reply
+      = { .outcome = HK_JOB_REQUEST_NOT_FOUND, .reason = "no such job" };
+  int64_t now = hk_clock_ms ();
+  struct hk_engine_job *job;
+
+  if (coord_store_failing (c, now))
+    {
+      reply_store_failing (c, done, user);
+      return;
+    }
+  job = hk_engine_tombstone_add (&c->engine, args->id, args->queue, now,
+                                 coord_wall_ms ());
+  if (!job)
+    {
+      hk_log (HK_LOG_WARN, "coord", NULL, args->id,
+              "event=cancel_refused queue=%s tombstones=%u; each is kept for "
+              "%" G_GINT64_FORMAT " ms",
+              args->queue, c->engine.n_tombstones, c->keep_ended_ms);
+      reply_now (done, user, HK_JOB_REQUEST_REFUSED,
+                 "too many unknown ids were cancelled",
+                 COORD_STORE_RETRY_AFTER_S);
+      return;
+    }
+  hk_log (HK_LOG_INFO, "coord", NULL, args->id,
+          "event=cancelled_unknown queue=%s tombstones=%u", args->queue,
+          c->engine.n_tombstones);
+  coord_waiter_add (job, &reply, done, user);
+  coord_pass_schedule (c);
+}
+
 static void
 handle_cancel (struct hk_coord *c, const hk_job_request_args *args,
                hk_coord_request_done done, void *user)
@@ -134,15 +191,14 @@
 
   if (!job)
     {
-      reply_not_found (c, done, user);
+      cancel_unknown (c, args, done, user);
       return;
     }
+  if (job->is_tombstone)
+    reply.outcome = HK_JOB_REQUEST_NOT_FOUND;
   if (hk_engine_job_active (job) && coord_store_failing (c, hk_clock_ms ()))
     {
-      reply_now (
-          done, user, HK_JOB_REQUEST_REFUSED, "the store does not answer",
-          coord_isolated (c, hk_clock_ms ()) ? ELSEWHERE_RETRY_AFTER_S
-                                             : COORD_STORE_RETRY_AFTER_S);
+      reply_store_failing (c, done, user);
       return;
     }
   if (hk_engine_job_active (job))
@@ -212,7 +268,7 @@
       break;
     }
   job = hk_engine_job_find (&c->engine, args->id);
-  if (!job || job->committed_version == 0)
+  if (!job || job->committed_version == 0 || job->is_tombstone)
     {
       reply_not_found (c, done, user);
       return;
--- a/src/engine/engine.c
+++ b/src/engine/engine.c
@@ -117,6 +117,7 @@
 job_free (struct hk_engine_job *job)
 {
   g_hash_table_remove (job->engine->jobs, job->spec.id);
+  job->engine->n_tombstones -= job->is_tombstone;
   for (unsigned i = 0; i < job->spec.steps.steps_len; i++)
     {
       struct hk_engine_step *step = &job->steps[i];
--- a/src/engine/engine_priv.h
+++ b/src/engine/engine_priv.h
@@ -7,6 +7,9 @@
  */
 struct hk_engine_job *engine_job_new (struct hk_engine *e, hk_job_spec *spec);
 
+/* Makes an ended job a tombstone. */
+void engine_tombstone_mark (struct hk_engine_job *job);
+
 /* Adds a run to a free entry of @task->runs, and its resources to @in. */
 struct hk_run *engine_run_new (struct hk_engine_task *task,
                                struct hk_instance *in, unsigned number);
--- a/src/engine/engine_record.c
+++ b/src/engine/engine_record.c
@@ -315,6 +315,8 @@
   job->ended_wall_ms = p->ended_ms;
   job->accepted_ms = now_ms - MAX (wall_ms - p->accepted_ms, 0);
   job->ended_ms = now_ms - MAX (wall_ms - p->ended_ms, 0);
+  if (job->state == HK_JOB_STATE_CANCELLED && p->accepted_ms == 0)
+    engine_tombstone_mark (job);
   load_tasks (job, p, now_ms);
   engine_crashes_load (job, &r.crashes);
   if (hk_engine_job_active (job))
