Remove the records of ended jobs after a takeover, and many at a time

By a test: records of jobs that ended before a takeover were kept for good and, at the head of the list, blocked the removal of later ones; one record was removed in 100 ms, and if the transaction had no room for it, the job was forgotten and its record stayed.

Cause: a load left sent_version at 0, which reads as a commit that is due; the job to remove was chosen apart from the transaction that deletes it.

Change: a loaded job counts as sent; each commit deletes the expired records it has room for, and forgets just these.

Evidence: /cancel/successors_remove_what_ended_before (never removed) and /cancel/many_records_expire_together (120 records, not gone after 6 s) failed before and pass.

--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -63,18 +63,6 @@
   coord_pass_schedule_in (c, 0);
 }
 
-static void
-ended_job_expire (struct hk_coord *c)
-{
-  int64_t limit = coord_wall_ms () - c->keep_ended_ms;
-  struct hk_engine_job *job = TAILQ_FIRST (&c->engine.ended);
-
-  /* The next commits delete its record; see coord_commit.c. */
-  if (job && job->ended_wall_ms < limit && job->n_runs == 0 && !job->dirty
-      && job->sent_version == job->committed_version)
-    g_ptr_array_add (c->commit.expired, g_strdup (job->spec.id));
-}
-
 static void
 on_tick (void *user)
 {
@@ -92,8 +80,6 @@
   coord_drain (c, now);
   coord_best_effort_relocate (c, now);
   coord_consolidate (c, now);
-  if (c->commit.expired->len == 0)
-    ended_job_expire (c);
   coord_pass_schedule (c);
 }
 
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -113,7 +113,7 @@
   int64_t failing_since_ms; /* 0 if the last commit succeeded */
   unsigned failures;        /* in a row */
   GPtrArray *jobs;          /* in the commit in flight, not owned */
-  GPtrArray *expired;       /* ids of ended jobs whose records to delete */
+  GPtrArray *expired;       /* ids of ended jobs whose records it deletes */
   struct hk_timer retry;
 };
 
--- a/src/coord/coord_commit.c
+++ b/src/coord/coord_commit.c
@@ -181,11 +181,27 @@
       job->records_too_big = FALSE;
       g_ptr_array_add (c->commit.jobs, job);
     }
-  for (guint i = 0; i < c->commit.expired->len && b->rows < TXN_ROWS_MAX; i++)
+}
+
+/* Deletes the records of jobs that ended longer ago than they are kept, as
+   many as there is room for. */
+static void
+builder_add_expired (struct hk_coord *c, struct txn_builder *b)
+{
+  int64_t limit = coord_wall_ms () - c->keep_ended_ms;
+  const struct hk_engine_job *job;
+
+  TAILQ_FOREACH (job, &c->engine.ended, link)
+  {
+    if (job->ended_wall_ms >= limit || b->rows >= TXN_ROWS_MAX)
+      return;
+    if (job->n_runs > 0 || job->dirty
+        || job->sent_version != job->committed_version)
+      continue;
     builder_add (b, HK_STORE_DELETE,
-                 g_strconcat (HK_KEY_PROGRESS,
-                              (char *)c->commit.expired->pdata[i], NULL),
-                 NULL, 0);
+                 g_strconcat (HK_KEY_PROGRESS, job->spec.id, NULL), NULL, 0);
+    g_ptr_array_add (c->commit.expired, g_strdup (job->spec.id));
+  }
 }
 
 static void
@@ -233,6 +249,7 @@
       TAILQ_INSERT_HEAD (&c->engine.dirty, job, dirty_link);
     }
   g_ptr_array_set_size (c->commit.jobs, 0);
+  g_ptr_array_set_size (c->commit.expired, 0);
 }
 
 static void
@@ -381,6 +398,7 @@
       = (struct hk_store_op){ HK_STORE_GET, HK_KEY_FENCE, NULL, 0, 0 };
   b.rows = 0;
   builder_add_dirty (c, &b);
+  builder_add_expired (c, &b);
   a = g_new0 (struct commit_attempt, 1);
   a->c = c;
   a->term = c->term;
--- a/src/engine/engine_record.c
+++ b/src/engine/engine_record.c
@@ -309,7 +309,7 @@
     }
   job = engine_job_new (e, &decoded);
   job->state = job->visible_state = (enum hk_job_state)p->state;
-  job->version = job->committed_version = 1;
+  job->version = job->sent_version = job->committed_version = 1;
   job->spec_stored = spec != NULL;
   job->accepted_wall_ms = p->accepted_ms;
   job->ended_wall_ms = p->ended_ms;
--- a/tests/coord/test_cancel.c
+++ b/tests/coord/test_cancel.c
@@ -150,6 +150,67 @@
   memory_store_finish (&s);
 }
 
+/* Guards against records that are kept for good, and block the removal of
+   later ones: what a predecessor had ended looked as if a commit were due. */
+static void
+successors_remove_what_ended_before (void)
+{
+  struct hk_coord_options options = HK_COORD_OPTIONS_INIT;
+  struct memory_store s;
+  struct hk_coord *c;
+
+  memory_store_init (&s);
+  c = coord_start (&s, "e1", NULL);
+  test_run_until (is_leading, c);
+  g_assert_cmpint (outcome (c, HK_JOB_REQUEST_CANCEL, OTHER), ==,
+                   HK_JOB_REQUEST_NOT_FOUND);
+  g_assert_cmpint (outcome (c, HK_JOB_REQUEST_SUBMIT, JOB), ==,
+                   HK_JOB_REQUEST_DONE);
+  g_assert_cmpint (outcome (c, HK_JOB_REQUEST_CANCEL, JOB), ==,
+                   HK_JOB_REQUEST_DONE);
+  hk_coord_free (c);
+  options.keep_ended_ms = 500;
+  c = coord_start_with (&s.base, options, "e2", NULL);
+  test_run_until (is_leading, c);
+  test_run_until (tombstone_is_gone, &s);
+  test_run_for (1000);
+  g_assert_false (memory_store_has (&s, HK_KEY_PROGRESS OTHER));
+  hk_coord_free (c);
+  memory_store_finish (&s);
+}
+
+/* Guards against a removal slower than jobs end: one record in 100 ms. */
+static void
+many_records_expire_together (void)
+{
+  struct hk_coord_options options = HK_COORD_OPTIONS_INIT;
+  struct request_result results[120];
+  struct memory_store s;
+  struct hk_coord *c;
+
+  options.keep_ended_ms = 300;
+  memory_store_init (&s);
+  c = coord_start_with (&s.base, options, "e1", NULL);
+  test_run_until (is_leading, c);
+  for (unsigned i = 0; i < G_N_ELEMENTS (results); i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%016x", i);
+
+      send_request (c, HK_JOB_REQUEST_CANCEL, id, &results[i]);
+    }
+  for (unsigned i = 0; i < G_N_ELEMENTS (results); i++)
+    test_run_until (has_reply, &results[i]);
+  test_run_for (6000);
+  for (unsigned i = 0; i < G_N_ELEMENTS (results); i++)
+    {
+      g_autofree char *key = g_strdup_printf (HK_KEY_PROGRESS "%016x", i);
+
+      g_assert_false (memory_store_has (&s, key));
+    }
+  hk_coord_free (c);
+  memory_store_finish (&s);
+}
+
 static void
 number_of_tombstones_is_bounded (void)
 {
@@ -182,6 +243,8 @@
   ADD (cancellations_are_confirmed_once_stored);
   ADD (cancellations_are_refused_while_the_store_is_away);
   ADD (tombstones_are_kept_as_long_as_ended_jobs);
+  ADD (successors_remove_what_ended_before);
+  ADD (many_records_expire_together);
   ADD (number_of_tombstones_is_bounded);
   return g_test_run ();
 }
