Let the endpoint confirm which incarnation a liveness report is of

From the report of other operators, shown here by tests: after one odd heartbeat that is answered 200, with a start time or a sequence number that is too high or with another id, a sound worker stays out of use for good. Its own reports and lists pass for late ones, and the leader refuses its agent even after that restarts.

Cause: a report was believed as it stood, and which is newer was decided by numbers that only the reporter vouches for. Class: an order by a value that anybody can write, without a way back.

Change: a report that names another incarnation is kept until the endpoint, asked by that id, answers with that start time; otherwise it is dropped with both sides' figures. Incarnations differ by identity at the agent. Sequence numbers that cannot have been reached are refused, and a first one that lied is left after three reports that rise over 2 s. remainingMs, born and ids out of range are answered 400. It costs one call to the machine's own worker at each new incarnation.

The checks of /platform/invalid_heartbeats_are_rejected on fields of the server that are gone are now on the agent's state, with five invalid heartbeats more; the fixtures of the agent's tests number their reports.

--- a/include/hyssopkeel/runner.h
+++ b/include/hyssopkeel/runner.h
@@ -24,7 +24,14 @@
 
 /**
  * struct hk_endpoint_report - status that an endpoint sends of itself.
- * @start_time_ms: start time of its incarnation; a later one means a restart.
+ *
+ * A hint: anybody may have sent it, or it is late. Whose it is, the endpoint
+ * is asked before it is used.
+ *
+ * @instance: name of its incarnation, for the endpoint's calls; may be NULL.
+ * @start_time_ms: start time of its incarnation, by which incarnations differ;
+ *                 they are not ordered by it, as the time of day may step.
+ * @sequence: rises with each report of an incarnation.
  * @pool: pool it belongs to.
  * @labels: NULL-terminated.
  * @cpu_milli: CPUs, thousandths.
@@ -33,11 +40,12 @@
  * @draining: takes no new work.
  * @leaving: is about to shut down.
  * @drain_left_ms: least time until it shuts down.
- * @clock_ms: its monotonic clock at the report; 0 if unknown.
  */
 struct hk_endpoint_report
 {
+  const char *instance;
   int64_t start_time_ms;
+  int64_t sequence;
   const char *pool;
   char **labels;
   unsigned cpu_milli;
@@ -46,7 +54,6 @@
   gboolean draining;
   gboolean leaving;
   int64_t drain_left_ms;
-  int64_t clock_ms;
 };
 
 /**
@@ -64,8 +71,9 @@
 /** hk_runner_start() - look up the coordinator and start to renew leases. */
 void hk_runner_start (struct hk_runner *r);
 
-/** hk_runner_report() - process a report of the endpoint; a report of an
- * earlier incarnation is ignored. */
+/** hk_runner_report() - process a report of the endpoint. One of an
+ * incarnation that the endpoint does not confirm is ignored, as is a late one.
+ */
 void hk_runner_report (struct hk_runner *r,
                        const struct hk_endpoint_report *report);
 
--- a/include/hyssopkeel/runtime.h
+++ b/include/hyssopkeel/runtime.h
@@ -83,7 +83,8 @@
  *      now; HK_ERR_UNAVAILABLE if not sent or not carried out;
  *      HK_ERR_NOT_FOUND if another incarnation replied; another negative code
  *      if the effect is unknown.
- * @list: runs and ends, of a renewal only; valid during the callback.
+ * @list: start time, of any reply that has one; runs and ends, of a renewal
+ *        only; valid during the callback.
  * @clock_ms: the endpoint's clock, 0 if unknown.
  * @err: cause on failure; @err->text holds the reason of a refusal.
  * @user: argument given with the call.
@@ -102,6 +103,11 @@
  *         drop ends up to @acked_seq, and list runs and ends; waits up to
  *         @wait_ms for a run to end.
  * @throttle: limit a run to @percent of its full speed.
+ * @identify: ask the incarnation @instance for its start time, and change
+ *            nothing there; the reply is HK_ERR_NOT_FOUND if another one
+ * lives.
+ * @address: later calls are meant for the incarnation @instance only, and
+ * others reject them.
  */
 struct hk_runtime_ops
 {
@@ -115,6 +121,9 @@
   void (*throttle) (struct hk_runtime *rt, const hk_task_id *task,
                     unsigned run, unsigned percent, uint64_t fence,
                     hk_runtime_done done, void *user);
+  void (*identify) (struct hk_runtime *rt, const char *instance,
+                    uint64_t fence, hk_runtime_done done, void *user);
+  void (*address) (struct hk_runtime *rt, const char *instance);
 };
 
 /**
--- a/src/runner/runner.c
+++ b/src/runner/runner.c
@@ -18,6 +18,7 @@
   r->authority = options->authority;
   r->lease_max_ms = options->lease_max_ms;
   r->created_ms = hk_clock_ms ();
+  hk_report_order_init (&r->report_order);
   TAILQ_INIT (&r->runs);
   TAILQ_INIT (&r->unanswered);
   hk_interference_model_init (&r->interference);
@@ -46,62 +47,6 @@
   return now < r->grant_until_ms;
 }
 
-static gboolean
-capacity_changed (const struct hk_runner *r,
-                  const struct hk_endpoint_report *report)
-{
-  return !r->described || r->cpu_milli != report->cpu_milli
-         || r->memory_mb != report->memory_mb
-         || r->accelerators != report->accelerators;
-}
-
-static void
-set_description (struct hk_runner *r, const struct hk_endpoint_report *report)
-{
-  if (capacity_changed (r, report))
-    hk_log (HK_LOG_INFO, "runner", NULL, NULL,
-            "event=endpoint_described pool=%s cpu=%u memory_mb=%u "
-            "accelerators=%u born=%" G_GINT64_FORMAT,
-            report->pool, report->cpu_milli, report->memory_mb,
-            report->accelerators, report->start_time_ms);
-  g_free (r->pool);
-  g_strfreev (r->labels);
-  r->pool = g_strdup (report->pool);
-  r->labels = g_strdupv (report->labels);
-  r->cpu_milli = report->cpu_milli;
-  r->memory_mb = report->memory_mb;
-  r->accelerators = report->accelerators;
-  r->described = TRUE;
-}
-
-void
-hk_runner_report (struct hk_runner *r, const struct hk_endpoint_report *report)
-{
-  int64_t now = hk_clock_ms ();
-  gboolean changed
-      = r->draining != report->draining || capacity_changed (r, report);
-
-  if (report->start_time_ms < r->endpoint_start_ms)
-    {
-      hk_log (HK_LOG_INFO, "runner", NULL, NULL,
-              "event=report_ignored born=%" G_GINT64_FORMAT
-              " current=%" G_GINT64_FORMAT,
-              report->start_time_ms, r->endpoint_start_ms);
-      return;
-    }
-  runner_incarnation_update (r, report->start_time_ms);
-  set_description (r, report);
-  if (r->draining != report->draining)
-    hk_log (HK_LOG_INFO, "runner", NULL, NULL,
-            "event=endpoint_%s left_ms=%" G_GINT64_FORMAT,
-            report->draining ? "drains" : "ready", report->drain_left_ms);
-  r->draining = report->draining;
-  r->endpoint_leaving = report->leaving;
-  r->drain_until_ms = now + report->drain_left_ms;
-  if (changed)
-    runner_report_schedule (r);
-}
-
 static void
 on_leave_done (void *user)
 {
@@ -141,6 +86,7 @@
   while ((run = TAILQ_FIRST (&r->runs)))
     runner_run_remove (run);
   runner_unanswered_clear (r);
+  runner_report_finish (r);
   g_free (r->name);
   g_free (r->domain);
   hk_interference_model_finish (&r->interference);
--- a/src/runner/runner.h
+++ b/src/runner/runner.h
@@ -10,6 +10,7 @@
 #include "hyssopkeel/metrics.h"
 #include "hyssopkeel/throttle.h"
 #include "hyssopkeel/interference_model.h"
+#include "hyssopkeel/report_order.h"
 #include "hyssopkeel/rpc_channel.h"
 #include "hyssopkeel/timer.h"
 
@@ -74,7 +75,15 @@
   int64_t created_ms;
 
   /* endpoint */
-  int64_t endpoint_start_ms;
+  char *instance;            /* that calls are addressed to; NULL for any */
+  int64_t endpoint_start_ms; /* of the present incarnation; 0 before a list */
+  uint64_t incarnation_seq;  /* call_seq when it became known */
+  struct hk_report_order report_order;
+  struct hk_endpoint_report candidate; /* that the endpoint is to confirm */
+  gboolean has_candidate;
+  unsigned confirm_generation;
+  unsigned confirm_attempts;
+  struct hk_timer confirm_timer;
   gboolean described;
   gboolean draining;
   gboolean endpoint_leaving;
@@ -136,6 +145,9 @@
 gboolean runner_grant_valid (const struct hk_runner *r, int64_t now);
 void runner_leave_acknowledged (struct hk_runner *r);
 
+/* runner_report.c */
+void runner_report_finish (struct hk_runner *r);
+
 /* runner_run.c */
 struct runner_run *runner_run_find (struct hk_runner *r,
                                     const hk_task_id *task, unsigned number);
--- a/src/runner/runner_renew.c
+++ b/src/runner/runner_renew.c
@@ -40,7 +40,7 @@
 {
   struct runner_run *run;
 
-  if (endpoint_start_ms <= r->endpoint_start_ms)
+  if (endpoint_start_ms == r->endpoint_start_ms)
     return;
   if (r->endpoint_start_ms)
     hk_log (HK_LOG_WARN, "runner", NULL, NULL,
@@ -53,6 +53,7 @@
       runner_run_remove (run);
     }
   r->endpoint_start_ms = endpoint_start_ms;
+  r->incarnation_seq = ++r->call_seq;
   r->described = FALSE;
   r->list_received = FALSE;
   r->draining = FALSE;
@@ -168,9 +169,13 @@
 process_list (struct hk_runner *r, const struct hk_runtime_list *list,
               uint64_t sent_seq, int64_t now)
 {
-  runner_incarnation_update (r, list->start_time_ms);
-  if (list->start_time_ms < r->endpoint_start_ms)
-    return;
+  if (list->start_time_ms != r->endpoint_start_ms)
+    {
+      /* Of an incarnation before the present one. */
+      if (sent_seq < r->incarnation_seq)
+        return;
+      runner_incarnation_update (r, list->start_time_ms);
+    }
   r->endpoint_clock_ms = list->clock_ms;
   r->clock_read_ms = now;
   r->list_count++;
--- a/tests/platform/report_support.c
+++ b/tests/platform/report_support.c
@@ -28,7 +28,7 @@
   memset (f, 0, sizeof *f);
   memory_store_init (&f->store);
   memory_runtime_init (&f->rt);
-  worker_client_init (&f->worker, "127.0.0.1:9");
+  f->rt.instance = "i-1";
   coord.name = "e1";
   coord.address = rpc;
   coord.authority = runner.authority;
@@ -37,7 +37,6 @@
   test_run_until (is_leading, f->coord);
   f->runner = hk_runner_new (&f->store.base, &f->rt.base, &runner);
   f->hs.runner = f->runner;
-  f->hs.worker = &f->worker;
   f->hs.pool = "pool";
   f->hs.drain_ms = 2000;
   f->address = test_address ();
@@ -55,7 +54,6 @@
   hk_runner_free (f->runner);
   hk_coord_free (f->coord);
   test_run_for (120);
-  worker_client_finish (&f->worker);
   g_object_unref (f->session);
   g_free (f->address);
   g_free (f->labels);
@@ -83,10 +81,10 @@
 }
 
 unsigned
-report_send (struct report_fixture *f, const char *body)
+report_send (struct report_fixture *f, const char *id, const char *body)
 {
   g_autofree char *url = g_strconcat ("http://", f->address,
-                                      "/api/Instances.Heartbeat/i-1", NULL);
+                                      "/api/Instances.Heartbeat/", id, NULL);
   g_autoptr (SoupMessage) msg = soup_message_new ("POST", url);
   g_autoptr (GBytes) bytes = g_bytes_new (body, strlen (body));
 
@@ -107,7 +105,7 @@
       "\"born\":%" PRId64 "}",
       ++f->sequence, f->labels, f->rt.start_time_ms);
 
-  return report_send (f, body);
+  return report_send (f, f->rt.instance, body);
 }
 
 static void
--- a/tests/platform/report_support.h
+++ b/tests/platform/report_support.h
@@ -13,7 +13,6 @@
  * @store: store of the coordinator.
  * @coord: coordinator.
  * @rt: endpoint.
- * @worker: receives the id that heartbeats name.
  * @runner: agent.
  * @hs: receives the heartbeats.
  * @address: address for heartbeats.
@@ -29,7 +28,6 @@
   struct memory_store store;
   struct hk_coord *coord;
   struct memory_runtime rt;
-  struct worker_client worker;
   struct hk_runner *runner;
   struct heartbeat_server hs;
   char *address;
@@ -41,14 +39,16 @@
   unsigned state;
 };
 
-/** report_fixture_init() - start everything; the endpoint has not reported. */
+/** report_fixture_init() - start everything; the endpoint, "i-1", has not
+ * reported. */
 void report_fixture_init (struct report_fixture *f);
 
 /** report_fixture_finish() - stop everything. */
 void report_fixture_finish (struct report_fixture *f);
 
-/** report_send() - send a heartbeat of endpoint "i-1"; returns the status. */
-unsigned report_send (struct report_fixture *f, const char *body);
+/** report_send() - send a heartbeat of incarnation @id; returns the status. */
+unsigned report_send (struct report_fixture *f, const char *id,
+                      const char *body);
 
 /** report_ready() - the endpoint reports what is true: it is ready; returns
  * the status. */
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -10,6 +10,7 @@
 #include "../../platform/node_settings.h"
 #include "../../platform/heartbeat_server.h"
 #include "../../platform/worker_client.h"
+#include "../../src/runner/runner.h"
 #include "../support/jobs.h"
 #include "../support/memory_runtime.h"
 #include "../support/memory_store.h"
@@ -22,7 +23,7 @@
   const char *body;
 };
 
-/* HTTP server that sends @responses in order; keeps the last request body. */
+/* HTTP server that sends @responses in order; keeps the last request. */
 struct scripted_server
 {
   SoupServer *server;
@@ -30,6 +31,7 @@
   const struct scripted_response *responses;
   unsigned next;
   char *request;
+  char *instance; /* header Expected-Instance of the last request */
 };
 
 static void
@@ -53,6 +55,9 @@
     g_error ("expected a request for %s, got %s", response->path,
              path_and_query);
   s->next++;
+  g_free (s->instance);
+  s->instance = g_strdup (soup_message_headers_get_one (
+      soup_server_message_get_request_headers (msg), "Expected-Instance"));
   g_free (s->request);
   s->request = g_strndup (bytes ? bytes : "", len);
   if (response->status == 0)
@@ -87,6 +92,7 @@
   soup_server_disconnect (s->server);
   g_object_unref (s->server);
   g_free (s->address);
+  g_free (s->instance);
   g_free (s->request);
 }
 
@@ -371,6 +377,38 @@
   scripted_server_stop (&s);
 }
 
+/* Guards against a question that changes what it asks about: it names the
+   incarnation, extends no lease and acknowledges no end. */
+static void
+incarnations_are_identified (void)
+{
+  static const struct scripted_response responses[]
+      = { { "/api/hold", 200, "{\"clockMs\":5,\"born\":99}" },
+          { "/api/hold", 421, NULL },
+          { "/api/hold", 421,
+            NULL }, /* libsoup repeats the call after a 421 */
+          { NULL, 0, NULL } };
+  struct scripted_server s;
+  struct worker_client w;
+  struct worker_reply reply = { 0 };
+
+  scripted_server_start (&s, responses);
+  worker_client_init (&w, s.address);
+  w.base.ops->address (&w.base, "i-1");
+  w.base.ops->identify (&w.base, "i-2", 4, on_worker_reply, &reply);
+  test_run_until (worker_reply_arrived, &reply);
+  g_assert_cmpint (reply.rc, ==, HK_OK);
+  g_assert_cmpint (reply.start_ms, ==, 99);
+  g_assert_cmpstr (s.instance, ==, "i-2");
+  g_assert_cmpstr (s.request, ==, "{\"fencingToken\":4,\"lastSeen\":0}");
+  reply.done = 0;
+  w.base.ops->identify (&w.base, "i-3", 4, on_worker_reply, &reply);
+  test_run_until (worker_reply_arrived, &reply);
+  g_assert_cmpint (reply.rc, ==, HK_ERR_NOT_FOUND);
+  worker_client_finish (&w);
+  scripted_server_stop (&s);
+}
+
 #define LONG_ID                                                               \
   "0123456789012345678901234567890123456789012345678901234567890123456789"    \
   "0123456789012345678901234567890123456789012345678901234567890123456789"    \
@@ -472,6 +510,12 @@
   "{\"service\":\"pool\",\"state\":\"ready\",\"sequence\":" sequence          \
   ",\"capacity\":" capacity ",\"born\":5}"
 
+static gboolean
+is_described (void *user)
+{
+  return ((struct hk_runner *)user)->described;
+}
+
 static void
 invalid_heartbeats_are_rejected (void)
 {
@@ -484,6 +528,13 @@
           HEARTBEAT ("pool", "sleeping", ""),
           "{\"service\":\"pool\",\"state\":\"ready\",\"sequence\":\"3\"}",
           "{\"service\":7,\"state\":\"ready\",\"sequence\":3}",
+          HEARTBEAT ("pool", "draining", ",\"remainingMs\":4294967296"),
+          HEARTBEAT ("pool", "draining", ",\"remainingMs\":\"9\""),
+          HEARTBEAT ("pool", "ready", ",\"labels\":7"),
+          HEARTBEAT ("pool", "ready", ",\"labels\":[7]"),
+          HEARTBEAT ("pool", "ready", ",\"labels\":[\"a\\u0000\"]"),
+          "{\"service\":\"pool\",\"state\":\"ready\",\"sequence\":3,"
+          "\"capacity\":{\"cpu\":1},\"born\":1e300}",
           HEARTBEAT_CAPACITY ("7", "3"),
           HEARTBEAT_CAPACITY ("{\"cpu\":-1,\"memMb\":1}", "3"),
           HEARTBEAT_CAPACITY ("{\"cpu\":\"4\",\"memMb\":1}", "3"),
@@ -493,9 +544,7 @@
   struct memory_runtime rt;
   struct hk_runner_options options
       = { .name = "a", .domain = "d", .authority = { 12000, 1000, 600 } };
-  struct worker_client worker;
-  struct heartbeat_server hs
-      = { .pool = "pool", .drain_ms = 2000, .worker = &worker };
+  struct heartbeat_server hs = { .pool = "pool", .drain_ms = 2000 };
   struct test_client w = { .session = soup_session_new () };
   g_autofree char *address = test_address ();
   g_autofree char *metrics = test_address ();
@@ -503,7 +552,8 @@
 
   memory_store_init (&store);
   memory_runtime_init (&rt);
-  worker_client_init (&worker, "127.0.0.1:9");
+  rt.start_time_ms = 5;
+  rt.instance = "i-1";
   hs.runner = hk_runner_new (&store.base, &rt.base, &options);
   g_assert_cmpint (heartbeat_server_start (&hs, address, metrics, &err), ==,
                    HK_OK);
@@ -512,24 +562,27 @@
                                "/api/Instances.Heartbeat/i-1", NULL,
                                invalid[i]),
                       ==, 400);
-  g_assert_cmpint (hs.worker_start_ms, ==, 0);
+  test_run_for (50);
+  g_assert_null (rt.addressed);
   g_assert_cmpuint (request (&w, "POST", address,
                              "/api/Instances.Heartbeat/i-1", NULL,
                              HEARTBEAT ("pool", "ready", ",\"clockMs\":9")),
                     ==, 200);
-  g_assert_cmpint (hs.worker_start_ms, ==, 5);
+  test_run_until (is_described, hs.runner);
+  g_assert_cmpstr (rt.addressed, ==, "i-1");
+  g_assert_cmpint (hs.runner->endpoint_start_ms, ==, 5);
+  g_assert_cmpuint (hs.runner->cpu_milli, ==, 1);
   /* A capacity that shrank to nothing is a valid one. */
   g_assert_cmpuint (request (&w, "POST", address,
                              "/api/Instances.Heartbeat/i-1", NULL,
                              HEARTBEAT_CAPACITY ("{}", "4")),
                     ==, 200);
-  g_assert_cmpint (hs.last_sequence, ==, 4);
-  g_assert_cmpstr (worker.instance, ==, "i-1");
+  g_assert_cmpint (hs.runner->report_order.last, ==, 4);
+  g_assert_cmpuint (hs.runner->cpu_milli, ==, 0);
   g_assert_cmpuint (request (&w, "GET", metrics, "/metrics", NULL, NULL), ==,
                     200);
   heartbeat_server_stop (&hs);
   hk_runner_free (hs.runner);
-  worker_client_finish (&worker);
   g_object_unref (w.session);
   g_free (w.body);
   memory_runtime_finish (&rt);
@@ -678,6 +731,7 @@
   ADD (txn_outcomes_are_distinguished);
   ADD (config_watch_recovers_from_failures);
   ADD (worker_responses_are_decoded);
+  ADD (incarnations_are_identified);
   ADD (odd_rows_of_a_list_are_skipped);
   ADD (invalid_heartbeats_are_rejected);
   ADD (submissions_are_validated_and_stored);
--- a/tests/platform/test_reports.c
+++ b/tests/platform/test_reports.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "hyssopkeel/log.h"
+#include "../../src/runner/runner.h"
 #include "report_support.h"
 
 /* An endpoint that is sound, and reports so, is in use again within this time
@@ -55,6 +56,103 @@
   report_fixture_finish (&f);
 }
 
+/* Reports that are answered 200 and say of a sound endpoint what is not true.
+   The format takes its start time. */
+static const struct
+{
+  const char *id;
+  const char *format;
+} lies[] = {
+#define LIE(id, state, sequence, more)                                        \
+  {                                                                           \
+    id, "{\"service\":\"pool\",\"state\":\"" state                            \
+        "\",\"sequence\":" sequence                                           \
+        ",\"capacity\":{\"cpu\":4000,\"memMb\":4000},"                        \
+        "\"labels\":[\"a\"]" more "}"                                         \
+  }
+#define BORN ",\"born\":%" PRId64
+  LIE ("i-1", "ready", "1", ",\"born\":9223372036854775807"),
+  LIE ("i-1", "ready", "1", ",\"born\":99999999999999999999999"),
+  LIE ("i-1", "draining", "1", ",\"born\":4102444800000"),
+  LIE ("i-1", "draining", "9223372036854775807", BORN),
+  LIE ("i-1", "draining", "2000000", BORN),
+  LIE ("i-2", "ready", "9223372036854775807", BORN),
+  LIE ("i-2", "draining", "1", ",\"born\":4102444800000"),
+  LIE ("i-1", "draining", "3", ",\"remainingMs\":2147483647" BORN),
+};
+
+static unsigned
+send_lie (struct report_fixture *f, guint i)
+{
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wformat-nonliteral"
+  g_autofree char *body
+      = g_strdup_printf (lies[i].format, f->rt.start_time_ms);
+#pragma GCC diagnostic pop
+
+  g_test_message ("%s: %s", lies[i].id, body);
+  return report_send (f, lies[i].id, body);
+}
+
+/* Guards against a sound endpoint that stays out of use for good, as its own
+   reports and lists pass for late ones after one that lied. */
+static void
+sound_endpoints_are_used_after_a_lie (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (lies); i++)
+    {
+      struct report_fixture f;
+
+      report_fixture_init (&f);
+      g_assert_cmpuint (report_ready (&f), ==, 200);
+      g_assert_true (report_job_runs (&f, "a1", RECOVERY_MAX_MS));
+      g_assert_cmpuint (send_lie (&f, i), ==, 200);
+      g_assert_true (report_job_runs (&f, "a2", RECOVERY_MAX_MS));
+      report_fixture_finish (&f);
+    }
+}
+
+/* The same if the lie is the first that the agent hears. */
+static void
+sound_endpoints_are_used_if_the_first_report_lies (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (lies); i++)
+    {
+      struct report_fixture f;
+
+      report_fixture_init (&f);
+      g_assert_cmpuint (send_lie (&f, i), ==, 200);
+      test_run_for (100);
+      g_assert_true (report_job_runs (&f, "a1", RECOVERY_MAX_MS));
+      report_fixture_finish (&f);
+    }
+}
+
+/* A report that was delayed arrives after its sender has crashed. */
+static void
+reports_of_former_incarnations_are_ignored (void)
+{
+  struct report_fixture f;
+  g_autofree char *former = NULL;
+
+  report_fixture_init (&f);
+  former = g_strdup_printf (
+      "{\"service\":\"pool\",\"state\":\"draining\",\"sequence\":9,"
+      "\"capacity\":{\"cpu\":1,\"memMb\":1},\"born\":%" PRId64 "}",
+      f.rt.start_time_ms);
+  g_assert_true (report_job_runs (&f, "a1", RECOVERY_MAX_MS));
+  memory_runtime_restart (&f.rt);
+  f.rt.instance = "i-2";
+  f.sequence = 0;
+  g_assert_true (report_job_runs (&f, "a2", RECOVERY_MAX_MS));
+  g_assert_cmpuint (report_send (&f, "i-1", former), ==, 200);
+  test_run_for (200);
+  g_assert_cmpstr (f.rt.addressed, ==, "i-2");
+  g_assert_false (f.runner->draining);
+  g_assert_cmpuint (f.runner->cpu_milli, ==, 4000);
+  report_fixture_finish (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -64,5 +162,8 @@
 #define ADD(name) g_test_add_func ("/reports/" #name, name)
   ADD (many_and_long_labels_are_carried);
   ADD (labels_over_a_limit_are_refused);
+  ADD (sound_endpoints_are_used_after_a_lie);
+  ADD (sound_endpoints_are_used_if_the_first_report_lies);
+  ADD (reports_of_former_incarnations_are_ignored);
   return g_test_run ();
 }
--- a/tests/runner/runner_support.c
+++ b/tests/runner/runner_support.c
@@ -30,6 +30,7 @@
 report_status (struct hk_runner *runner, const struct memory_runtime *rt,
                int64_t drain_left_ms)
 {
+  static int64_t sequence;
   char *labels[] = { (char *)"a", NULL };
   struct hk_endpoint_report r = { .start_time_ms = rt->start_time_ms,
                                   .pool = "pool",
@@ -37,6 +38,7 @@
                                   .cpu_milli = 4000,
                                   .memory_mb = 4000 };
 
+  r.sequence = ++sequence;
   r.draining = drain_left_ms > 0;
   r.drain_left_ms = drain_left_ms;
   hk_runner_report (runner, &r);
--- a/tests/runner/test_capacity.c
+++ b/tests/runner/test_capacity.c
@@ -106,8 +106,10 @@
 report_capacity_with_label (struct fixture *f, unsigned n_tasks,
                             const char *label)
 {
+  static int64_t sequence;
   char *labels[] = { (char *)label, NULL };
   struct hk_endpoint_report r = { .start_time_ms = f->rt.start_time_ms,
+                                  .sequence = ++sequence,
                                   .pool = "pool",
                                   .labels = labels,
                                   .cpu_milli = n_tasks * TASK_CPU_MILLI,
--- a/tests/support/memory_runtime.c
+++ b/tests/support/memory_runtime.c
@@ -140,6 +140,12 @@
   g_timeout_add (a->rc == HK_ERR_TIMEOUT ? 60 : 1, deliver_reply, a);
 }
 
+static gboolean
+misaddressed (const struct memory_runtime *rt)
+{
+  return rt->addressed && g_strcmp0 (rt->addressed, rt->instance) != 0;
+}
+
 static int
 start_run (struct memory_runtime *rt, const hk_task_id *task, unsigned number,
            int64_t deadline_ms, uint64_t fence)
@@ -209,10 +215,11 @@
       schedule_reply (rt, HK_ERR_TIMEOUT, FALSE, done, user);
       return;
     }
-  rc = rt->unreachable ? HK_ERR_UNAVAILABLE
-       : rt->silent    ? HK_ERR_TIMEOUT
-                       : start_run (rt, &order->task, order->run,
-                                    order->deadline_ms, order->fence);
+  rc = rt->unreachable     ? HK_ERR_UNAVAILABLE
+       : rt->silent        ? HK_ERR_TIMEOUT
+       : misaddressed (rt) ? HK_ERR_NOT_FOUND
+                           : start_run (rt, &order->task, order->run,
+                                        order->deadline_ms, order->fence);
   if (rt->drop_start_replies > 0 && rc == HK_OK)
     {
       rt->drop_start_replies--;
@@ -229,6 +236,11 @@
   struct run *found = NULL;
 
   (void)fence;
+  if (misaddressed (rt))
+    {
+      schedule_reply (rt, HK_ERR_NOT_FOUND, FALSE, done, user);
+      return;
+    }
   update_runs (rt);
   for (guint i = 0; i < rt->runs->len; i++)
     {
@@ -264,6 +276,11 @@
   struct memory_runtime *rt = (struct memory_runtime *)base;
 
   (void)wait_ms;
+  if (misaddressed (rt))
+    {
+      schedule_reply (rt, HK_ERR_NOT_FOUND, TRUE, done, user);
+      return;
+    }
   if (!rt->unreachable && !rt->silent)
     {
       update_runs (rt);
@@ -286,10 +303,32 @@
   schedule_reply ((struct memory_runtime *)base, HK_OK, FALSE, done, user);
 }
 
+static void
+runtime_identify (struct hk_runtime *base, const char *instance,
+                  uint64_t fence, hk_runtime_done done, void *user)
+{
+  struct memory_runtime *rt = (struct memory_runtime *)base;
+  gboolean other = instance && g_strcmp0 (instance, rt->instance) != 0;
+
+  (void)fence;
+  schedule_reply (rt, other ? HK_ERR_NOT_FOUND : HK_OK, FALSE, done, user);
+}
+
+static void
+runtime_address (struct hk_runtime *base, const char *instance)
+{
+  struct memory_runtime *rt = (struct memory_runtime *)base;
+
+  g_free (rt->addressed);
+  rt->addressed = g_strdup (instance);
+}
+
 static const struct hk_runtime_ops ops = { .start = runtime_start,
                                            .stop = runtime_stop,
                                            .renew = runtime_hold,
-                                           .throttle = runtime_pace };
+                                           .throttle = runtime_pace,
+                                           .identify = runtime_identify,
+                                           .address = runtime_address };
 
 static void
 free_run (gpointer data)
@@ -327,6 +366,7 @@
 {
   g_ptr_array_unref (rt->runs);
   g_ptr_array_unref (rt->delayed);
+  g_free (rt->addressed);
 }
 
 void
--- a/tests/support/memory_runtime.h
+++ b/tests/support/memory_runtime.h
@@ -8,6 +8,8 @@
  * injection.
  * @base: table of operations.
  * @start_time_ms: start time of its incarnation.
+ * @instance: name of its incarnation.
+ * @addressed: incarnation that calls are addressed to; NULL for any.
  * @work_ms: duration of a task.
  * @fail_next: number of next runs that end as failed.
  * @drop_start_replies: number of next starts that take effect but time out.
@@ -39,6 +41,8 @@
 {
   struct hk_runtime base;
   int64_t start_time_ms;
+  const char *instance;
+  char *addressed;
   int64_t work_ms;
   int fail_next;
   int drop_start_replies;
--- a/tests/unit/test_policy.c
+++ b/tests/unit/test_policy.c
@@ -8,6 +8,7 @@
 #include "hyssopkeel/ledger.h"
 #include "hyssopkeel/limits.h"
 #include "hyssopkeel/placement.h"
+#include "hyssopkeel/report_order.h"
 #include "hyssopkeel/retry.h"
 
 static void
@@ -305,6 +306,54 @@
   g_assert_cmpint (f.slowdown_percent, <, 120);
 }
 
+/* Reports */
+
+static void
+late_reports_are_told_from_a_series (void)
+{
+  struct hk_report_order o;
+
+  hk_report_order_init (&o);
+  g_assert_cmpint (hk_report_order_check (&o, 7, 1000), ==,
+                   HK_REPORT_ACCEPTED);
+  g_assert_cmpint (hk_report_order_check (&o, 9, 2000), ==,
+                   HK_REPORT_ACCEPTED);
+  /* Those that a partition had delayed arrive together. */
+  g_assert_cmpint (hk_report_order_check (&o, 7, 2100), ==, HK_REPORT_LATE);
+  g_assert_cmpint (hk_report_order_check (&o, 8, 2100), ==, HK_REPORT_LATE);
+  g_assert_cmpint (hk_report_order_check (&o, 9, 2100), ==, HK_REPORT_LATE);
+  g_assert_cmpint (hk_report_order_check (&o, 10, 3000), ==,
+                   HK_REPORT_ACCEPTED);
+  /* Repeated for long, but not rising. */
+  for (int64_t now = 4000; now < 9000; now += 500)
+    g_assert_cmpint (hk_report_order_check (&o, 6, now), ==, HK_REPORT_LATE);
+}
+
+static void
+numbers_that_lie_are_recovered_from (void)
+{
+  struct hk_report_order o;
+  int64_t now = 1000;
+  int n = 1;
+
+  hk_report_order_init (&o);
+  g_assert_cmpint (hk_report_order_check (&o, G_MAXINT64, now), ==,
+                   HK_REPORT_ACCEPTED);
+  while (hk_report_order_check (&o, n, now) != HK_REPORT_ACCEPTED)
+    {
+      n++;
+      now += 1100;
+    }
+  g_assert_cmpint (n, ==, 3);
+  g_assert_cmpint (hk_report_order_check (&o, n + 1, now + 1100), ==,
+                   HK_REPORT_ACCEPTED);
+  g_assert_cmpint (hk_report_order_check (&o, G_MAXINT64, now + 1200), ==,
+                   HK_REPORT_IMPLAUSIBLE);
+  /* An agent that was away for an hour. */
+  g_assert_cmpint (hk_report_order_check (&o, 3000, now + 3600000), ==,
+                   HK_REPORT_ACCEPTED);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -328,6 +377,8 @@
   ADD ("/interference/steps",
        interference_throttles_then_evicts_then_cools_down);
   ADD ("/interference/forgotten", interference_decays_without_samples);
+  ADD ("/report_order/late", late_reports_are_told_from_a_series);
+  ADD ("/report_order/lies", numbers_that_lie_are_recovered_from);
 #undef ADD
   return g_test_run ();
 }
