--- a/include/hyssopkeel/json.h
+++ b/include/hyssopkeel/json.h
@@ -9,6 +9,9 @@
 
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (json_object, json_object_put)
 
+/** HK_JSON_DEPTH_MAX - objects and lists that may be nested. */
+#define HK_JSON_DEPTH_MAX 32
+
 enum hk_json_type
 {
   HK_JSON_INT,    /* int64_t */
@@ -48,8 +51,8 @@
  * @name: file or key named in errors.
  * @err: filled on failure.
  *
- * Both kinds of C comments are allowed. Trailing commas, trailing text and
- * duplicate keys are errors.
+ * Both kinds of C comments are allowed. Trailing commas, trailing text,
+ * duplicate keys and deeper nesting than HK_JSON_DEPTH_MAX are errors.
  *
  * Return: 0 or a negative code.
  */
--- a/src/util/json.c
+++ b/src/util/json.c
@@ -93,9 +93,14 @@
   return HK_OK;
 }
 
-static void
-scan_bracket (struct json_scanner *s, char c)
+static int
+scan_bracket (struct json_scanner *s, char c, const char *name,
+              struct hk_error *err)
 {
+  if (strchr ("{[", c) && s->scopes->len == HK_JSON_DEPTH_MAX)
+    return hk_error_set (err, HK_ERR_INVALID, "json.parse", name,
+                         "line %d: nested deeper than %d levels", s->line,
+                         HK_JSON_DEPTH_MAX);
   if (c == '{')
     g_ptr_array_add (s->scopes, g_hash_table_new_full (g_str_hash, g_str_equal,
                                                        g_free, NULL));
@@ -103,6 +108,7 @@
     g_ptr_array_add (s->scopes, NULL);
   else if (s->scopes->len > 0)
     g_ptr_array_set_size (s->scopes, (gint)s->scopes->len - 1);
+  return HK_OK;
 }
 
 /* Blanks comments in place, which keeps line numbers, and rejects duplicate
@@ -129,8 +135,8 @@
             return rc;
           continue;
         }
-      if (strchr ("{}[]", c))
-        scan_bracket (s, c);
+      if (strchr ("{}[]", c) && scan_bracket (s, c, name, err) < 0)
+        return HK_ERR_INVALID;
       if (c == '\n')
         s->line++;
       s->pos++;
@@ -167,7 +173,7 @@
   rc = scan_text (&s, name, err);
   if (rc < 0)
     return rc;
-  tok = json_tokener_new ();
+  tok = json_tokener_new_ex (HK_JSON_DEPTH_MAX + 1);
   json_tokener_set_flags (tok, JSON_TOKENER_STRICT);
   obj = json_tokener_parse_ex (tok, copy, (int)len + 1);
   if (json_tokener_get_error (tok) != json_tokener_success)
--- a/tests/platform/test_reports.c
+++ b/tests/platform/test_reports.c
@@ -1,6 +1,7 @@
 /* What follows when a liveness report lies, or is odd, and for how long. */
 #include <glib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "hyssopkeel/log.h"
 #include "../../src/runner/runner.h"
@@ -153,6 +154,48 @@
   report_fixture_finish (&f);
 }
 
+/* Most memory that this process has had, bytes. */
+static size_t
+peak_memory (void)
+{
+  struct rusage usage;
+
+  getrusage (RUSAGE_SELF, &usage);
+  return (size_t)usage.ru_maxrss * 1024;
+}
+
+static unsigned
+send_repeated (struct report_fixture *f, const char *open, size_t bytes)
+{
+  g_autoptr (GString) body = g_string_sized_new (bytes);
+
+  while (body->len < bytes)
+    g_string_append (body, open);
+  return report_send (f, "i-1", body->str);
+}
+
+/* Guards against an agent that ends for want of memory: it had a table for
+   each level of a deeply nested report, and no limit on the length of one. */
+static void
+odd_reports_take_little_memory (void)
+{
+  const size_t bytes = 4 << 20;
+  struct report_fixture f;
+  size_t before;
+
+  report_fixture_init (&f);
+  g_assert_cmpuint (report_ready (&f), ==, 200);
+  before = peak_memory ();
+  g_assert_cmpuint (send_repeated (&f, "{\"a\":", 380000), ==, 400);
+  g_assert_cmpuint (send_repeated (&f, "[", 380000), ==, 400);
+  g_assert_cmpuint (send_repeated (&f, "{\"a\":", bytes), ==, 413);
+  g_assert_cmpuint (send_repeated (&f, "[[],[],[],[]],", bytes), ==, 413);
+  /* Sender and receiver are one process: it holds the body several times. */
+  g_assert_cmpuint (peak_memory () - before, <, 8 * bytes);
+  g_assert_true (report_job_runs (&f, "a1", RECOVERY_MAX_MS));
+  report_fixture_finish (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -164,6 +207,7 @@
   ADD (labels_over_a_limit_are_refused);
   ADD (sound_endpoints_are_used_after_a_lie);
   ADD (sound_endpoints_are_used_if_the_first_report_lies);
+  ADD (odd_reports_take_little_memory);
   ADD (reports_of_former_incarnations_are_ignored);
   return g_test_run ();
 }
--- a/tests/unit/test_text.c
+++ b/tests/unit/test_text.c
@@ -5,6 +5,7 @@
 
 #include "hyssopkeel/changes.h"
 #include "hyssopkeel/job.h"
+#include "hyssopkeel/json.h"
 #include "hyssopkeel/settings.h"
 #include "hyssopkeel/tables.h"
 
@@ -216,6 +217,27 @@
   hk_job_finish (&reread);
 }
 
+static void
+json_is_bounded_in_depth (void)
+{
+  struct hk_error err = { 0 };
+  g_autoptr (GString) text = g_string_new (NULL);
+  json_object *obj = NULL;
+
+  for (int i = 0; i < HK_JSON_DEPTH_MAX; i++)
+    g_string_append (text, "[");
+  for (int i = 0; i < HK_JSON_DEPTH_MAX; i++)
+    g_string_append (text, "]");
+  g_assert_cmpint (hk_json_parse (&obj, text->str, text->len, "t", &err), ==,
+                   HK_OK);
+  json_object_put (obj);
+  g_string_prepend (text, "[");
+  g_string_append (text, "]");
+  g_assert_cmpint (hk_json_parse (&obj, text->str, text->len, "t", &err), ==,
+                   HK_ERR_INVALID);
+  g_assert_nonnull (strstr (err.text, "32 levels"));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -225,6 +247,7 @@
   g_test_add_func ("/settings/errors", settings_errors_name_path_and_rule);
   g_test_add_func ("/settings/addresses",
                    settings_reject_bad_and_duplicate_addresses);
+  g_test_add_func ("/json/depth", json_is_bounded_in_depth);
   g_test_add_func ("/tables/join", tables_validate_rows_and_references);
   g_test_add_func ("/tables/old", tables_keep_old_rows_on_error);
   g_test_add_func ("/tables/changes", changes_can_be_undone);
