Raise the fence with each incarnation of an endpoint

Cause: nothing in a call that survives its sender says which incarnation it is for; the agent remembered that, and reports were ordered by time of day.

Change: the fence of all calls is the coordinator's term and an epoch that the agent raises at its start and at each new incarnation. A list is used only if its call carried the raised fence, so an older start is either in it or will be rejected, and only then is the incarnation reported. The coordinator tells incarnations apart by identity, and late reports by their connection.

--- a/include/hyssopkeel/rpc_server.h
+++ b/include/hyssopkeel/rpc_server.h
@@ -36,6 +36,7 @@
  * @user: argument of the handlers.
  * @bytes_in: bytes read from connections that are closed by now.
  * @bytes_out: bytes written to connections that are closed by now.
+ * @connections: connections accepted so far.
  * @socket: listening socket, NULL while stopped.
  * @source: readiness of @socket.
  * @clients: accepted connections.
@@ -49,6 +50,7 @@
   void *user;
   uint64_t bytes_in;
   uint64_t bytes_out;
+  uint64_t connections;
   GSocket *socket;
   GSource *source;
   LIST_HEAD (, hk_rpc_client) clients;
@@ -87,6 +89,15 @@
  */
 void hk_rpc_reply (struct hk_rpc_request *req, const void *result);
 
+/**
+ * hk_rpc_request_connection() - connection that a request came over.
+ * @req: request.
+ *
+ * Return: number of the connection, which rises in the order in which the
+ * server accepted them.
+ */
+uint64_t hk_rpc_request_connection (const struct hk_rpc_request *req);
+
 /**
  * hk_rpc_request_peer() - address of the client that sent a request.
  * @req: request.
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -83,6 +83,7 @@
   struct hk_coord *c;
   struct hk_instance *in;
   struct hk_rpc_request *parked; /* report whose reply is delayed */
+  uint64_t connection;           /* that the last report came over */
   int64_t received_ms;           /* of the last report */
   int64_t orphan_stop_ms;        /* last stop orders for @orphans */
   int64_t interference_sent_ms;
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -2,6 +2,8 @@
    ended. */
 #include "coord.h"
 
+#include <inttypes.h>
+
 /* The start order of a run that is missing from reports for this long is
    repeated. */
 #define RUN_MISSING_MS 2000
@@ -48,18 +50,17 @@
   return l;
 }
 
-/* The runs of incarnations that started before @started_before_ms, but for
-   those listed in the report of @listed_ms: the agent ensures that no start
-   order for them takes effect late. */
+/* The runs of earlier incarnations, but for those listed in the report of
+   @listed_ms: the present incarnation has seen a fence that makes it reject
+   their starts before its agent reports it. */
 static GPtrArray *
-runs_started_before (const struct hk_instance *in, int64_t started_before_ms,
-                     int64_t listed_ms)
+runs_of_earlier_incarnations (const struct hk_instance *in, int64_t listed_ms)
 {
   GPtrArray *runs = g_ptr_array_new ();
   struct hk_run *run;
 
   LIST_FOREACH (run, &in->runs, link)
-  if (run->instance_start_time_ms < started_before_ms
+  if (run->instance_start_time_ms != in->start_time_ms
       && run->reported_ms != listed_ms)
     g_ptr_array_add (runs, run);
   return runs;
@@ -300,8 +301,7 @@
 restart_apply (struct hk_coord *c, struct hk_instance *in, gboolean in_touch,
                int64_t now)
 {
-  g_autoptr (GPtrArray) runs
-      = runs_started_before (in, in->start_time_ms, now);
+  g_autoptr (GPtrArray) runs = runs_of_earlier_incarnations (in, now);
 
   if (in_touch)
     coord_crash_apply (c, in, runs, "endpoint restarted", now);
@@ -371,19 +371,24 @@
     }
   in = hk_engine_instance_get (&c->engine, args->agent);
   l = link_get (c, in);
-  if (args->endpoint_started_ms < in->start_time_ms)
+  if (args->endpoint_started_ms != in->start_time_ms
+      && hk_rpc_request_connection (req) < l->connection)
     {
-      /* A late message of an earlier incarnation. */
+      hk_log (HK_LOG_INFO, "sync", in->name, NULL,
+              "event=report_refused why=\"late, of an earlier incarnation\" "
+              "born=%" PRId64 " present_born=%" G_GINT64_FORMAT,
+              (int64_t)args->endpoint_started_ms, in->start_time_ms);
       hk_rpc_reply (req, &refusal);
       return;
     }
+  l->connection = hk_rpc_request_connection (req);
   /* An agent that was silent may have stopped together with its endpoint. */
   in_touch
       = !in->last_report_ms || now - in->last_report_ms < REPORT_GAP_MAX_MS;
   coord_link_reply (l, TRUE);
   l->parked = req;
   l->received_ms = now;
-  if (args->endpoint_started_ms > in->start_time_ms)
+  if (args->endpoint_started_ms != in->start_time_ms)
     {
       in->start_time_ms = args->endpoint_started_ms;
       in->capacity_known = FALSE;
@@ -415,8 +420,11 @@
 runs_end_expired (struct hk_coord *c, const struct hk_instance *in,
                   int64_t now)
 {
-  g_autoptr (GPtrArray) runs = runs_started_before (in, G_MAXINT64, -1);
+  g_autoptr (GPtrArray) runs = g_ptr_array_new ();
+  struct hk_run *run;
 
+  LIST_FOREACH (run, &in->runs, link)
+  g_ptr_array_add (runs, run);
   runs_end_lost (c, in, runs, "leases expired", now);
 }
 
--- a/src/rpc/rpc_server.c
+++ b/src/rpc/rpc_server.c
@@ -16,6 +16,7 @@
 {
   struct hk_rpc_server *srv;
   struct hk_rpc_conn conn;
+  uint64_t number;
   int refs;
   LIST_ENTRY (hk_rpc_client) link;
 };
@@ -116,6 +117,12 @@
   g_free (req);
 }
 
+uint64_t
+hk_rpc_request_connection (const struct hk_rpc_request *req)
+{
+  return req->client->number;
+}
+
 const char *
 hk_rpc_request_peer (const struct hk_rpc_request *req)
 {
@@ -204,6 +211,7 @@
     return G_SOURCE_CONTINUE;
   client = g_new0 (struct hk_rpc_client, 1);
   client->srv = srv;
+  client->number = ++srv->connections;
   client->refs = 1;
   LIST_INSERT_HEAD (&srv->clients, client, link);
   hk_rpc_conn_accept (&client->conn, accepted, &conn_ops, client);
--- a/src/runner/runner.c
+++ b/src/runner/runner.c
@@ -4,6 +4,12 @@
 
 /* The process exits after this time even if leaving is incomplete. */
 #define LEAVE_TIMEOUT_MS 900
+/* A fence is a term and an epoch, and fits the 53 bits of a JSON number: two
+   million terms, and an epoch of 13 years on the machine's clock, which goes
+   on while agents restart. */
+#define FENCE_TERM_SHIFT 32
+#define FENCE_EPOCH_MASK ((UINT64_C (1) << FENCE_TERM_SHIFT) - 1)
+#define FENCE_EPOCH_MS 100
 
 struct hk_runner *
 hk_runner_new (struct hk_store *store, struct hk_runtime *runtime,
@@ -19,6 +25,7 @@
   r->lease_max_ms = options->lease_max_ms;
   r->created_ms = hk_clock_ms ();
   hk_report_order_init (&r->report_order);
+  runner_fence_raise (r);
   TAILQ_INIT (&r->runs);
   TAILQ_INIT (&r->unanswered);
   hk_interference_model_init (&r->interference);
@@ -41,6 +48,24 @@
                           : 0;
 }
 
+/* The endpoint rejects calls with a lower fence than the highest that it has
+   seen, so a successor's orders win over those of a former coordinator. */
+uint64_t
+runner_fence (const struct hk_runner *r)
+{
+  return (r->term << FENCE_TERM_SHIFT) | r->fence_epoch;
+}
+
+/* The present incarnation, once it has seen the raised fence, rejects the
+   starts that were sent to earlier ones, also by former agents. */
+void
+runner_fence_raise (struct hk_runner *r)
+{
+  uint64_t epoch = (uint64_t)hk_clock_ms () / FENCE_EPOCH_MS;
+
+  r->fence_epoch = MAX (r->fence_epoch + 1, epoch) & FENCE_EPOCH_MASK;
+}
+
 gboolean
 runner_grant_valid (const struct hk_runner *r, int64_t now)
 {
--- a/src/runner/runner.h
+++ b/src/runner/runner.h
@@ -78,6 +78,8 @@
   char *instance;            /* that calls are addressed to; NULL for any */
   int64_t endpoint_start_ms; /* of the present incarnation; 0 before a list */
   uint64_t incarnation_seq;  /* call_seq when it became known */
+  uint64_t fence_epoch;      /* part of the fence; rises with each incarnation
+                                and each agent of the endpoint */
   struct hk_report_order report_order;
   struct hk_endpoint_report candidate; /* that the endpoint is to confirm */
   gboolean has_candidate;
@@ -142,6 +144,8 @@
 
 /* runner.c */
 int64_t runner_endpoint_clock_ms (const struct hk_runner *r, int64_t now);
+uint64_t runner_fence (const struct hk_runner *r);
+void runner_fence_raise (struct hk_runner *r);
 gboolean runner_grant_valid (const struct hk_runner *r, int64_t now);
 void runner_leave_acknowledged (struct hk_runner *r);
 
--- a/src/runner/runner_renew.c
+++ b/src/runner/runner_renew.c
@@ -43,10 +43,14 @@
   if (endpoint_start_ms == r->endpoint_start_ms)
     return;
   if (r->endpoint_start_ms)
-    hk_log (HK_LOG_WARN, "runner", NULL, NULL,
-            "event=endpoint_restarted born=%" G_GINT64_FORMAT
-            " before=%" G_GINT64_FORMAT " runs=%u",
-            endpoint_start_ms, r->endpoint_start_ms, r->n_runs);
+    {
+      runner_fence_raise (r);
+      hk_log (HK_LOG_WARN, "runner", NULL, NULL,
+              "event=endpoint_restarted born=%" G_GINT64_FORMAT
+              " before=%" G_GINT64_FORMAT " runs=%u fence=%" G_GUINT64_FORMAT,
+              endpoint_start_ms, r->endpoint_start_ms, r->n_runs,
+              runner_fence (r));
+    }
   while (r->endpoint_start_ms && (run = TAILQ_FIRST (&r->runs)))
     {
       runner_unanswered_keep (run);
@@ -169,12 +173,18 @@
 process_list (struct hk_runner *r, const struct hk_runtime_list *list,
               uint64_t sent_seq, int64_t now)
 {
+  gboolean first = r->endpoint_start_ms == 0;
+
+  /* Of an earlier incarnation, or of a call with a lower fence: a start of
+     before may arrive until the endpoint has seen the raised one, and the list
+     of that call shows whether one did. */
+  if (sent_seq < r->incarnation_seq)
+    return;
   if (list->start_time_ms != r->endpoint_start_ms)
     {
-      /* Of an incarnation before the present one. */
-      if (sent_seq < r->incarnation_seq)
-        return;
       runner_incarnation_update (r, list->start_time_ms);
+      if (!first)
+        return;
     }
   r->endpoint_clock_ms = list->clock_ms;
   r->clock_read_ms = now;
@@ -261,7 +271,7 @@
     on_done (r);
   else if (rc != HK_OK)
     hk_timer_set (&r->renew_timer, RENEW_RETRY_MS, on_renew_timer, r);
-  else if (r->n_runs == 0)
+  else if (r->n_runs == 0 && r->list_received)
     hk_timer_set (&r->renew_timer, RENEW_IDLE_MS, on_renew_timer, r);
   else
     hk_timer_set (&r->renew_timer,
@@ -291,7 +301,7 @@
   req->on_done = on_done;
   r->renewing = TRUE;
   /* The first list is needed at once, so don't wait for an end. */
-  r->runtime->ops->renew (r->runtime, deadline, r->term, r->acked_seq,
+  r->runtime->ops->renew (r->runtime, deadline, runner_fence (r), r->acked_seq,
                           r->list_received && r->n_runs > 0 ? wait_ms : 0,
                           on_renewed, req);
 }
--- a/src/runner/runner_report.c
+++ b/src/runner/runner_report.c
@@ -179,8 +179,8 @@
 
   c->r = r;
   c->generation = r->confirm_generation;
-  r->runtime->ops->identify (r->runtime, r->candidate.instance, r->term,
-                             on_identified, c);
+  r->runtime->ops->identify (r->runtime, r->candidate.instance,
+                             runner_fence (r), on_identified, c);
 }
 
 void
--- a/src/runner/runner_run.c
+++ b/src/runner/runner_run.c
@@ -201,7 +201,7 @@
   mark_open_start (run);
   run->state = RUN_STOPPING;
   run->open_calls++;
-  r->runtime->ops->stop (r->runtime, &run->task, run->number, r->term,
+  r->runtime->ops->stop (r->runtime, &run->task, run->number, runner_fence (r),
                          on_stopped, run);
 }
 
@@ -359,7 +359,7 @@
   const char *obstacle = start_obstacle (r, now);
   struct hk_runtime_start order = { .task = run->task,
                                     .run = run->number,
-                                    .fence = r->term,
+                                    .fence = runner_fence (r),
                                     .checkpoint = run->checkpoint,
                                     .payload = run->payload,
                                     .payload_len = run->payload_len };
--- a/src/runner/runner_throttle.c
+++ b/src/runner/runner_throttle.c
@@ -88,7 +88,7 @@
   run->throttled_ms = now;
   r->throttle_set_ms = now;
   r->runtime->ops->throttle (r->runtime, &run->task, run->number, percent,
-                             r->term, on_throttled, run);
+                             runner_fence (r), on_throttled, run);
 }
 
 /* Logs one line per run and list, to trace which image interferes with
--- a/tests/support/memory_runtime.c
+++ b/tests/support/memory_runtime.c
@@ -235,12 +235,14 @@
   struct memory_runtime *rt = (struct memory_runtime *)base;
   struct run *found = NULL;
 
-  (void)fence;
-  if (misaddressed (rt))
+  if (misaddressed (rt) || fence < rt->fence)
     {
-      schedule_reply (rt, HK_ERR_NOT_FOUND, FALSE, done, user);
+      schedule_reply (rt,
+                      misaddressed (rt) ? HK_ERR_NOT_FOUND : HK_ERR_CONFLICT,
+                      FALSE, done, user);
       return;
     }
+  rt->fence = fence;
   update_runs (rt);
   for (guint i = 0; i < rt->runs->len; i++)
     {
@@ -276,9 +278,11 @@
   struct memory_runtime *rt = (struct memory_runtime *)base;
 
   (void)wait_ms;
-  if (misaddressed (rt))
+  if (misaddressed (rt) || fence < rt->fence)
     {
-      schedule_reply (rt, HK_ERR_NOT_FOUND, TRUE, done, user);
+      schedule_reply (rt,
+                      misaddressed (rt) ? HK_ERR_NOT_FOUND : HK_ERR_CONFLICT,
+                      TRUE, done, user);
       return;
     }
   if (!rt->unreachable && !rt->silent)
