Stop runs that a restarted agent found at the next incarnation too

The agent had restarted and found the run in a list, so it knew of no unanswered start.

Change: a run that is found in a list may have been started by attempts of a former agent that are still on their way; it is stopped at the next incarnation like the starts that the agent sent itself.

--- a/src/runner/runner_renew.c
+++ b/src/runner/runner_renew.c
@@ -95,6 +95,8 @@
               "event=run_adopted step=%u index=%u run=%u percent=%u",
               row->task.step, row->task.index, row->run, row->percent);
       run->state = RUN_RUNNING;
+      /* The former agent may have sent other attempts to start it. */
+      run->start_in_doubt = TRUE;
       runner_report_schedule (r);
     }
   if (run->state == RUN_ENDED && run->end_seq == 0 && run->how == HK_END_LOST)
--- a/tests/runner/test_incarnation.c
+++ b/tests/runner/test_incarnation.c
@@ -48,11 +48,12 @@
    forgotten with its agent, and the next incarnation carried it out beside the
    run that replaced it. */
 static void
-starts_of_a_former_agent_are_rejected_by_the_next_incarnation (void)
+check_starts_of_a_former_agent (gboolean ignore_fence)
 {
   struct fixture f;
 
   fixture_init (&f);
+  f.rt.delayed_ignore_fence = ignore_fence;
   f.rt.work_ms = 3000;
   f.rt.delay_starts = 2;
   send_request (&f, 0, HK_JOB_REQUEST_SUBMIT);
@@ -69,6 +70,19 @@
   fixture_finish (&f);
 }
 
+static void
+starts_of_a_former_agent_are_rejected_by_the_next_incarnation (void)
+{
+  check_starts_of_a_former_agent (FALSE);
+}
+
+/* The same at an endpoint that checked the fence of a start as it came. */
+static void
+starts_that_pass_the_fence_are_stopped_by_the_next_incarnation (void)
+{
+  check_starts_of_a_former_agent (TRUE);
+}
+
 /* Guards against a task that runs again after it was done: its end was
    acknowledged before agent and endpoint restarted. */
 static void
@@ -143,6 +157,7 @@
     hk_log_init ("info");
 #define ADD(name) g_test_add_func ("/incarnation/" #name, name)
   ADD (starts_of_a_former_agent_are_rejected_by_the_next_incarnation);
+  ADD (starts_that_pass_the_fence_are_stopped_by_the_next_incarnation);
   ADD (starts_of_tasks_that_are_done_are_rejected);
   ADD (starts_before_the_first_call_are_adopted);
   ADD (incarnations_may_start_at_an_earlier_time);
--- a/tests/support/memory_runtime.c
+++ b/tests/support/memory_runtime.c
@@ -381,7 +381,7 @@
       struct delayed_start *start = rt->delayed->pdata[i];
 
       if (start_run (rt, &start->task, start->number, start->deadline_ms,
-                     start->fence)
+                     rt->delayed_ignore_fence ? rt->fence : start->fence)
           != HK_OK)
         rt->n_refused++;
     }
--- a/tests/support/memory_runtime.h
+++ b/tests/support/memory_runtime.h
@@ -15,6 +15,8 @@
  * @drop_start_replies: number of next starts that take effect but time out.
  * @delay_starts: number of next starts that time out and take effect only in
  *                memory_runtime_apply_delayed().
+ * @delayed_ignore_fence: delayed starts are carried out whatever the fence
+ * says, as if the endpoint had checked it when they came.
  * @stale_lists: number of next lists without running tasks, as if made before
  *               these started and overtaken by the replies to the starts.
  * @unreachable: every call fails as if no process listened.
@@ -47,6 +49,7 @@
   int fail_next;
   int drop_start_replies;
   int delay_starts;
+  gboolean delayed_ignore_fence;
   int stale_lists;
   gboolean unreachable;
   gboolean silent;
