Never give up a task that is to last for crashes of its endpoints

Change: such a task starts again after a pause, 0.5 s from its third crash in a row, doubled up to 4 s, and apart from other starts as before.

--- a/include/hyssopkeel/crash_blame.h
+++ b/include/hyssopkeel/crash_blame.h
@@ -72,6 +72,16 @@
  */
 enum hk_crash_watch hk_crash_watch_of (const struct hk_crash_history *h);
 
+/**
+ * hk_crash_restart_delay_ms() - pause before a task that is never given up, as
+ *                               it is to last, starts again.
+ * @h: history of the task.
+ *
+ * Return: milliseconds since the end of its last run; 0 while the evidence
+ * does not suffice to give a task up.
+ */
+int64_t hk_crash_restart_delay_ms (const struct hk_crash_history *h);
+
 /**
  * hk_crash_gives_up() - whether a task is to be given up after a crash.
  * @h: history of the task, with the crash counted.
--- a/src/coord/coord_crash.c
+++ b/src/coord/coord_crash.c
@@ -83,6 +83,27 @@
   hk_engine_task_give_up (task, now, coord_wall_ms ());
 }
 
+/* Tasks that last start again however they end. */
+static gboolean
+may_be_given_up (const struct hk_engine_task *task)
+{
+  return !(task->step->spec->flags & HK_STEP_SERVICE);
+}
+
+static void
+log_restart_delay (const struct hk_instance *in, const struct hk_run *run)
+{
+  const struct hk_engine_task *task = run->task;
+  int64_t delay_ms = hk_crash_restart_delay_ms (&task->crash);
+
+  if (delay_ms > 0)
+    hk_log (HK_LOG_WARN, "crash", in->name, task->step->job->spec.id,
+            "event=restart_delayed step=%u index=%u run=%u crashes=%u "
+            "delay_ms=%" G_GINT64_FORMAT "; endpoints crash under the task",
+            task->step->index, task->index, run->number, task->crash.crashes,
+            delay_ms);
+}
+
 /* A speculative attempt may still run elsewhere. */
 static void
 task_watch (struct hk_engine_task *task)
@@ -121,10 +142,15 @@
 
       if (!hk_engine_job_active (run->task->step->job))
         continue;
-      if (hk_crash_gives_up (&run->task->crash, alone))
-        task_give_up (in, run, alone, now);
-      else
-        task_watch (run->task);
+      if (may_be_given_up (run->task)
+          && hk_crash_gives_up (&run->task->crash, alone))
+        {
+          task_give_up (in, run, alone, now);
+          continue;
+        }
+      if (!may_be_given_up (run->task))
+        log_restart_delay (in, run);
+      task_watch (run->task);
     }
 }
 
--- a/src/coord/coord_crash_place.c
+++ b/src/coord/coord_crash_place.c
@@ -59,6 +59,14 @@
     }
 }
 
+/* Whether a task that is to last has to pause before it starts again. */
+gboolean
+coord_crash_pauses (const struct hk_engine_task *task, int64_t now)
+{
+  return (task->step->spec->flags & HK_STEP_SERVICE)
+         && now - task->ready_ms < hk_crash_restart_delay_ms (&task->crash);
+}
+
 static gboolean
 may_take_instance (struct coord_pass *p, const struct hk_engine_task *task)
 {
--- a/src/coord/coord_schedule.c
+++ b/src/coord/coord_schedule.c
@@ -58,7 +58,8 @@
       struct hk_engine_task *task = &step->tasks[t];
       enum hk_crash_watch watch = hk_crash_watch_of (&task->crash);
 
-      if (waits[watch] || !is_waiting (task))
+      if (waits[watch] || !is_waiting (task)
+          || coord_crash_pauses (task, p->now))
         continue;
       waits[watch] = !coord_crash_place (p, task);
       p->n_placed += !waits[watch];
--- a/src/policy/crash_blame.c
+++ b/src/policy/crash_blame.c
@@ -14,6 +14,11 @@
 /* Two crashes by chance must not end a job. */
 #define CRASHES_CONCLUSIVE 3
 #define CRASHES_MAX 5
+/* Pause of a task that is to last after its third crash, doubled with each up
+   to the maximum. The platform counts such a task as lost 9 s after its last
+   run. */
+#define RESTART_DELAY_MIN_MS 500
+#define RESTART_DELAY_MAX_MS 4000
 
 int64_t
 hk_crash_probation_ms (int64_t age_ms)
@@ -50,6 +55,16 @@
   return (enum hk_crash_watch)MIN (h->crashes, HK_CRASH_EXCLUSIVE);
 }
 
+int64_t
+hk_crash_restart_delay_ms (const struct hk_crash_history *h)
+{
+  if (h->crashes < CRASHES_CONCLUSIVE)
+    return 0;
+  return MIN (RESTART_DELAY_MIN_MS
+                  << MIN (h->crashes - CRASHES_CONCLUSIVE, 10),
+              RESTART_DELAY_MAX_MS);
+}
+
 gboolean
 hk_crash_gives_up (const struct hk_crash_history *h, gboolean alone)
 {
