Tell bystanders of crashes from causes after a takeover

Cause: the age of a run at a crash was that of its last progress, from the takeover on for one that a predecessor had placed. A task that lasts makes none, so all of them were suspects, and these run one after the other in few places, each until its life was seen 4.35 s late.

Change: a report whose progress or load sample is new is a sign of life, and ages go by it; an inherited run lost right after the takeover has an unknown age; a suspect of one crash runs beside others after 2 s.

--- a/include/hyssopkeel/crash_blame.h
+++ b/include/hyssopkeel/crash_blame.h
@@ -72,6 +72,16 @@
  */
 enum hk_crash_watch hk_crash_watch_of (const struct hk_crash_history *h);
 
+/**
+ * hk_crash_watch_waiting() - the same for a task that waits for an instance.
+ * @h: history of the task.
+ * @waited_ms: time for which it has waited.
+ *
+ * Return: level; none for a suspect of one crash that has waited for too long.
+ */
+enum hk_crash_watch hk_crash_watch_waiting (const struct hk_crash_history *h,
+                                            int64_t waited_ms);
+
 /**
  * hk_crash_restart_delay_ms() - pause before a task that is never given up, as
  *                               it is to last, starts again.
--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -69,6 +69,9 @@
  * @reported_ms: time of the last report that shows it.
  * @full_speed_ms: run time up to @reported_ms, weighted by speed.
  * @progress_ms: time of the last report with more progress, or of the first.
+ * @alive_ms: time of the last report that shows a sign of life since the one
+ *            before: other progress or another load sample. Reports repeat
+ * what the endpoint last listed until its agent notices a crash.
  * @throttled_since_ms: time since which its speed has been so low that it
  *                      may be moved; 0 if it is not.
  * @watch: how it is separated from other runs; see hk_engine_run_watch().
@@ -98,6 +101,7 @@
   int64_t reported_ms;
   double full_speed_ms;
   int64_t progress_ms;
+  int64_t alive_ms;
   int64_t throttled_since_ms;
   enum hk_crash_watch watch;
   LIST_ENTRY (hk_run) link;
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -356,6 +356,8 @@
 /* coord_crash_place.c */
 gboolean coord_crash_admits (const struct hk_instance *in,
                              const struct hk_engine_task *task, int64_t now);
+enum hk_crash_watch coord_crash_watch (const struct hk_engine_task *task,
+                                       int64_t now);
 gboolean coord_crash_pauses (const struct hk_engine_task *task, int64_t now);
 gboolean coord_crash_place (struct coord_pass *p, struct hk_engine_task *task);
 
--- a/src/coord/coord_crash.c
+++ b/src/coord/coord_crash.c
@@ -11,25 +11,28 @@
   return run->inherited && start ? MIN (start, c->taken_over_ms) : start;
 }
 
-/* Age at the last sign of life. Reports of a run go on after a crash until its
-   agent notices, so only progress counts. */
+/* Age at the last sign of life. A run that a predecessor placed is older than
+   it has been known here, and it may be much older. */
 static int64_t
 run_age_ms (const struct hk_coord *c, const struct hk_run *run, int64_t now)
 {
   int64_t start = run_start_ms (c, run);
+  int64_t age;
 
   if (!start)
     return HK_CRASH_AGE_UNKNOWN;
-  return run->started_ms ? MAX (run->progress_ms - start, 0) : now - start;
+  age = run->started_ms ? MAX (run->alive_ms - start, 0) : now - start;
+  return run->inherited && age <= HK_CRASH_QUICK_MS ? HK_CRASH_AGE_UNKNOWN
+                                                    : age;
 }
 
-/* Time for which a run is known to have lived: until its last progress, or
+/* Time for which a run is known to have lived: until its last sign of life, or
    until a crash after its last report would have been noticed. */
 static int64_t
 run_alive_ms (const struct hk_coord *c, const struct hk_run *run)
 {
   int64_t noticed_ms = hk_authority_terminated_at (&c->authority, 0);
-  int64_t last = MAX (run->progress_ms, run->reported_ms - noticed_ms);
+  int64_t last = MAX (run->alive_ms, run->reported_ms - noticed_ms);
 
   return run->started_ms ? MAX (last - run_start_ms (c, run), 0) : 0;
 }
@@ -38,7 +41,10 @@
 is_likely_cause (const struct hk_coord *c, const struct hk_run *run,
                  int64_t now)
 {
-  return run->watch || run_age_ms (c, run, now) <= HK_CRASH_QUICK_MS;
+  int64_t age = run_age_ms (c, run, now);
+
+  return run->watch
+         || (age != HK_CRASH_AGE_UNKNOWN && age <= HK_CRASH_QUICK_MS);
 }
 
 static void
--- a/src/coord/coord_crash_place.c
+++ b/src/coord/coord_crash_place.c
@@ -16,6 +16,16 @@
 /* A suspect that has waited for this long may take one more. */
 #define SUSPECT_WAIT_MAX_MS 5000
 
+/* How the next run of a task has to be separated. */
+enum hk_crash_watch
+coord_crash_watch (const struct hk_engine_task *task, int64_t now)
+{
+  int64_t waited_ms
+      = task->state == HK_TASK_WAITING ? now - task->ready_ms : 0;
+
+  return hk_crash_watch_waiting (&task->crash, waited_ms);
+}
+
 static int64_t
 last_start_ms (const struct hk_instance *in, int64_t now)
 {
@@ -45,7 +55,7 @@
 coord_crash_admits (const struct hk_instance *in,
                     const struct hk_engine_task *task, int64_t now)
 {
-  switch (hk_crash_watch_of (&task->crash))
+  switch (coord_crash_watch (task, now))
     {
     case HK_CRASH_EXCLUSIVE:
       return in->n_watched == 0
@@ -122,7 +132,7 @@
 gboolean
 coord_crash_place (struct coord_pass *p, struct hk_engine_task *task)
 {
-  enum hk_crash_watch watch = hk_crash_watch_of (&task->crash);
+  enum hk_crash_watch watch = coord_crash_watch (task, p->now);
   gboolean reserved = task->reserved_until_ms > p->now;
   struct hk_run *run;
 
--- a/src/coord/coord_schedule.c
+++ b/src/coord/coord_schedule.c
@@ -36,7 +36,7 @@
     {
       struct hk_engine_task *task = &step->tasks[t];
 
-      if (!is_waiting (task) || hk_crash_watch_of (&task->crash))
+      if (!is_waiting (task) || coord_crash_watch (task, p->now))
         continue;
       if (!begun)
         coord_pass_begin_step (p, task);
@@ -56,7 +56,7 @@
   for (unsigned t = 0; t < step->spec->count; t++)
     {
       struct hk_engine_task *task = &step->tasks[t];
-      enum hk_crash_watch watch = hk_crash_watch_of (&task->crash);
+      enum hk_crash_watch watch = coord_crash_watch (task, p->now);
 
       if (waits[watch] || !is_waiting (task)
           || coord_crash_pauses (task, p->now))
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -127,6 +127,8 @@
   run->reported_ms = now;
   if (r->percent > run->progress_percent || !run->progress_ms)
     run->progress_ms = now;
+  if (run->progress_ms == now || r->figure != run->load_sample)
+    run->alive_ms = now;
   run->progress_percent = r->percent;
   run->load_sample = r->figure;
   run->speed_percent = r->pace;
--- a/src/policy/crash_blame.c
+++ b/src/policy/crash_blame.c
@@ -14,6 +14,9 @@
 /* Two crashes by chance must not end a job. */
 #define CRASHES_CONCLUSIVE 3
 #define CRASHES_MAX 5
+/* The platform allows a task to wait for 3 s while there is room for it; a
+   suspect of one crash is probably a bystander. */
+#define SHARED_WAIT_MAX_MS 2000
 /* Pause of a task that is to last after its third crash, doubled with each up
    to the maximum. The platform counts such a task as lost 9 s after its last
    run. */
@@ -55,6 +58,18 @@
   return (enum hk_crash_watch)MIN (h->crashes, HK_CRASH_EXCLUSIVE);
 }
 
+/* Load pattern: many tasks are restarted at once, and some of their new
+   instances crash as well, so that dozens of bystanders wait to run apart. */
+enum hk_crash_watch
+hk_crash_watch_waiting (const struct hk_crash_history *h, int64_t waited_ms)
+{
+  enum hk_crash_watch watch = hk_crash_watch_of (h);
+
+  return watch == HK_CRASH_SHARED && waited_ms >= SHARED_WAIT_MAX_MS
+             ? HK_CRASH_UNWATCHED
+             : watch;
+}
+
 int64_t
 hk_crash_restart_delay_ms (const struct hk_crash_history *h)
 {
--- a/tests/coord/coord_support.c
+++ b/tests/coord/coord_support.c
@@ -112,14 +112,14 @@
     }
 }
 
-static gboolean
+gboolean
 report_has_reply (void *user)
 {
   return ((struct agent *)user)->n_replies > 0;
 }
 
 void
-report (struct agent *a)
+report_send (struct agent *a)
 {
   hk_sync_args args = { .agent = (char *)a->name,
                         .domain = (char *)"d",
@@ -137,6 +137,12 @@
   args.ends.ends_val = a->ends;
   a->n_replies = 0;
   hk_rpc_call (&a->channel, &sync_method, &args, 3000, on_synced, a);
+}
+
+void
+report (struct agent *a)
+{
+  report_send (a);
   test_run_until (report_has_reply, a);
 }
 
--- a/tests/coord/coord_support.h
+++ b/tests/coord/coord_support.h
@@ -89,6 +89,14 @@
                               const char *id, unsigned flags,
                               struct request_result *a);
 
+/** report_send() - send one report; the reply is awaited with
+ * report_has_reply(). */
+void report_send (struct agent *a);
+
+/** report_has_reply() - whether the reply to a report has arrived, for
+ * test_run_until(). */
+gboolean report_has_reply (void *user);
+
 /** report() - send one report and wait for the reply. */
 void report (struct agent *a);
 
--- a/tests/coord/test_crash.c
+++ b/tests/coord/test_crash.c
@@ -200,8 +200,7 @@
   while (s.starts[0] < 6 && hk_clock_ms () - began_ms < 30000)
     {
       site_round (&s);
-      g_assert_cmpuint (state_of (&s, CULPRIT_JOB), <,
-                        HK_JOB_STATE_COMPLETED);
+      g_assert_cmpuint (state_of (&s, CULPRIT_JOB), <, HK_JOB_STATE_COMPLETED);
     }
   g_assert_cmpuint (s.starts[0], ==, 6);
   /* Pauses of 0.5, 1 and 2 s after the third, fourth and fifth crash. */
