--- a/tests/soak/clients.c
+++ b/tests/soak/clients.c
@@ -224,9 +224,27 @@
     count_unaccepted (job);
 }
 
+static char *
+odd_job_body (const struct soak_job *job)
+{
+  static const gsize lengths[] = { 0, 201, 5000, 65536 };
+  g_autofree char *image = g_strnfill (
+      lengths[g_str_hash (job->id) % G_N_ELEMENTS (lengths)], 'i');
+
+  return g_strdup_printf (
+      "{\"spec\":\"" SOAK_SPEC_ODD_JSON "\",\"steps\":["
+      "{\"count\":%d,\"cpu\":1000,\"memMb\":100,\"estimateMs\":300,"
+      "\"checkpointing\":true,\"image\":\"%s\"},"
+      "{\"count\":1,\"cpu\":1000,\"memMb\":100,\"estimateMs\":300,"
+      "\"after\":[0]}]}",
+      SOAK_FIRST_STEP_TASKS, image);
+}
+
 static char *
 job_body (const struct soak_job *job)
 {
+  if (job->c->odd)
+    return odd_job_body (job);
   return g_strdup_printf (
       "{\"spec\":\"%s\",\"steps\":["
       "{\"count\":%d,\"cpu\":1000,\"memMb\":100,\"estimateMs\":300},"
--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -39,6 +39,7 @@
  * @stalled_ms: when this process last fell behind, so that times measured
  *              before are wrong.
  * @submit_deadly: whether some jobs have such a task.
+ * @odd: jobs have specs and images that are odd, and not deadly.
  */
 struct soak_clients
 {
@@ -62,6 +63,7 @@
   unsigned cut_exempt;
   int64_t stalled_ms;
   gboolean submit_deadly;
+  gboolean odd;
 };
 
 /** soak_clients_init() - prepare clients that know no entry yet. */
--- a/tests/soak/runs.c
+++ b/tests/soak/runs.c
@@ -136,6 +136,34 @@
              MIN (deadline_ms, soak_worker_clock_ms (w) + LEASE_MAX_MS));
 }
 
+/* A checkpoint names its task, so that another's is recognized. */
+static char *
+odd_checkpoint (const struct run *run)
+{
+  static const gsize lengths[] = { 0, 16, 256, 5000, 65536, 65537, 200000 };
+  gsize len = lengths[g_str_hash (run->task) % G_N_ELEMENTS (lengths)];
+  g_autofree char *fill = g_strnfill (len, 'c');
+
+  if (len > strlen (run->task))
+    memcpy (fill, run->task, strlen (run->task));
+  return g_steal_pointer (&fill);
+}
+
+static void
+check_odd_start (struct soak_worker *w, json_object *body, const char *task)
+{
+  const char *checkpoint = hk_json_str (body, "checkpoint");
+  json_object *spec = json_object_object_get (body, "spec");
+
+  if (json_object_get_string_len (spec) != SOAK_SPEC_ODD_BYTES)
+    soak_violation (w->oracle, "%s starts %s with another spec", w->name,
+                    task);
+  if (checkpoint && strlen (checkpoint) > strlen (task)
+      && !g_str_has_prefix (checkpoint, task))
+    soak_violation (w->oracle, "%s starts %s with another's checkpoint",
+                    w->name, task);
+}
+
 /* Returns the reason for a refusal, or NULL if the run is accepted. */
 const char *
 soak_run_start (struct soak_worker *w, json_object *body, gboolean late)
@@ -158,6 +186,8 @@
     }
   lease_extend (w, deadline);
   check_capacity (w);
+  if (w->odd)
+    check_odd_start (w, body, task);
   run = g_new0 (struct run, 1);
   run->task = g_strdup (task);
   run->run_id = run_id;
@@ -236,6 +266,7 @@
     {
       const struct run *run = w->runs->pdata[i];
       json_object *row = json_object_new_array ();
+      g_autofree char *checkpoint = NULL;
 
       if (run->stopped_unstarted || (run->ended && run->seq <= w->acked_end))
         {
@@ -248,7 +279,8 @@
       json_object_array_add (row, json_object_new_int64 (run->run_id));
       if (run->ended)
         json_object_array_add (row, json_object_new_string (run->outcome));
-      json_object_array_add (row, json_object_new_string (""));
+      checkpoint = w->odd ? odd_checkpoint (run) : g_strdup ("");
+      json_object_array_add (row, json_object_new_string (checkpoint));
       if (!run->ended)
         json_object_array_add (row, json_object_new_int64 (run_percent (run)));
       json_object_array_add (run->ended ? finished : running, row);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -75,6 +75,7 @@
   n->worker = &s->workers[i];
   soak_worker_start (n->worker, n->name, reports, &s->oracle,
                      s->seed * 1009U + i);
+  n->worker->odd = s->clients.odd;
   n->store_link = relay_new (n->name, via, s->store.address);
   /* A relay accepts connections also while the worker is down; connected
      directly, an agent is refused. */
@@ -225,6 +226,8 @@
             "Number of processes: small (default) or large", "SIZE" },
           { "late", 0, 0, G_OPTION_ARG_NONE, &s.late,
             "Orders may be carried out seconds later", NULL },
+          { "odd", 0, 0, G_OPTION_ARG_NONE, &s.clients.odd,
+            "Odd and long texts in jobs, lists and reports", NULL },
           { "deadly", 0, 0, G_OPTION_ARG_NONE, &s.clients.submit_deadly,
             "Some jobs have a task that crashes its workers", NULL },
           { NULL } };
--- a/tests/soak/worker.c
+++ b/tests/soak/worker.c
@@ -163,6 +163,47 @@
                                           REPORT_INTERVAL_MAX_MS);
 }
 
+/* Reports that lie or cannot be used; the parameters are the start time of the
+   worker and its number of reports. */
+static const struct
+{
+  const char *id;
+  const char *body;
+} odd_reports[] = {
+#define ODD(id, state, sequence, born)                                        \
+  {                                                                           \
+    id, "{\"service\":\"pool\",\"state\":\"" state                            \
+        "\",\"sequence\":" sequence ",\"born\":" born                         \
+        ",\"capacity\":{\"cpu\":8000,\"memMb\":8000},\"labels\":[]}"          \
+  }
+  ODD (NULL, "ready", "1", "9223372036854775807"),
+  ODD (NULL, "draining", "9223372036854775807", "@"),
+  ODD ("another", "draining", "1", "@"),
+  ODD ("another", "ready", "99999999999999999999", "4102444800000"),
+  ODD (NULL, "draining", "1", "4102444800000"),
+  ODD (NULL, "draining", "1e400", "@"),
+  { NULL, "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[" },
+  { NULL, "{\"service\":\"pool\",\"state\":7}" },
+};
+
+static void
+send_odd_report (struct soak_worker *w, gsize n)
+{
+  const char *id = odd_reports[n].id ? odd_reports[n].id : w->id;
+  g_autofree char *url = g_strdup_printf (
+      "http://%s/api/Instances.Heartbeat/%s", w->reports, id);
+  g_autofree char *born
+      = g_strdup_printf ("%" G_GINT64_FORMAT, w->start_time_ms);
+  g_auto (GStrv) parts = g_strsplit (odd_reports[n].body, "@", -1);
+  g_autofree char *text = g_strjoinv (born, parts);
+  g_autoptr (SoupMessage) msg = soup_message_new ("POST", url);
+  g_autoptr (GBytes) bytes = g_bytes_new (text, strlen (text));
+
+  soup_message_set_request_body_from_bytes (msg, "application/json", bytes);
+  soup_session_send_async (w->session, msg, G_PRIORITY_DEFAULT, NULL, NULL,
+                           NULL);
+}
+
 /* Begins a new incarnation, which knows nothing of the one before. */
 static void
 come_up (struct soak_worker *w)
@@ -230,7 +271,12 @@
   if (w->last_end > w->acked_end || now >= w->next_renewal_ms)
     renewals_answer (w);
   if (now >= w->next_report_ms)
-    send_report (w);
+    {
+      send_report (w);
+      if (w->odd)
+        send_odd_report (w,
+                         (gsize)w->report_count % G_N_ELEMENTS (odd_reports));
+    }
   return G_SOURCE_CONTINUE;
 }
 
--- a/tests/soak/worker.h
+++ b/tests/soak/worker.h
@@ -10,6 +10,11 @@
  * it. */
 #define SOAK_SPEC_DEADLY "deadly"
 
+/** Specification with U+0000, as it stands in JSON, and its length in bytes.
+ */
+#define SOAK_SPEC_ODD_JSON "te\\u0000xt"
+#define SOAK_SPEC_ODD_BYTES 5
+
 /** Full capacity of a worker, in thousandths of a core. */
 #define SOAK_WORKER_CPU_MILLI 8000
 
@@ -25,6 +30,8 @@
  * @late_orders: number of coming starts and stops that get no reply and are
  *               carried out seconds later, then perhaps by a later
  *               incarnation.
+ * @odd: its lists have checkpoints of any length, and another writer sends odd
+ *       reports in its name.
  * @cpu_milli: capacity.
  * @cpu_limit_milli: capacity before it shrank; allowed until @limit_until_ms.
  * @runs: struct run, ended ones included.
@@ -48,6 +55,7 @@
   char *reports;
   int lost_replies;
   int late_orders;
+  gboolean odd;
   unsigned cpu_milli;
   unsigned cpu_limit_milli;
   int64_t limit_until_ms;
