Hear an endpoint whose report numbers rise in large steps

Numbers that are not accepted but rise three times over 2 s are its own now, as those that are late were before.

/report_order/lies has the case; it was written with the change.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -71,7 +71,7 @@
  * @progress_ms: time of the last report with more progress, or of the first.
  * @alive_ms: time of the last report that shows a sign of life since the one
  *            before: other progress or another load sample. Reports repeat
- * what the endpoint last listed until its agent notices a crash.
+ *            the last list until the agent notices a crash of the endpoint.
  * @throttled_since_ms: time since which its speed has been so low that it
  *                      may be moved; 0 if it is not.
  * @watch: how it is separated from other runs; see hk_engine_run_watch().
--- a/include/hyssopkeel/report_order.h
+++ b/include/hyssopkeel/report_order.h
@@ -21,9 +21,9 @@
  * struct hk_report_order - order of the reports of one incarnation.
  * @last: number of the last report accepted; -1 before the first.
  * @accepted_ms: time of that report.
- * @lower_last: number of the last report that was late.
- * @lower_since_ms: time of the first of the late ones that rise since.
- * @n_lower: late reports that rise since then.
+ * @unused_last: number of the last report that was not accepted.
+ * @unused_since_ms: time of the first of those whose numbers rise since.
+ * @n_unused: number of these; 0 after a report that was accepted.
  *
  * Reports are numbered from small numbers upwards and may overtake each other.
  * Guards against a number that lies: an endpoint would be ignored until its
@@ -33,9 +33,9 @@
 {
   int64_t last;
   int64_t accepted_ms;
-  int64_t lower_last;
-  int64_t lower_since_ms;
-  unsigned n_lower;
+  int64_t unused_last;
+  int64_t unused_since_ms;
+  unsigned n_unused;
 };
 
 /** hk_report_order_init() - before the first report of an incarnation. */
--- a/include/hyssopkeel/runner.h
+++ b/include/hyssopkeel/runner.h
@@ -25,8 +25,8 @@
 /**
  * struct hk_endpoint_report - status that an endpoint sends of itself.
  *
- * A hint: anybody may have sent it, or it is late. Whose it is, the endpoint
- * is asked before it is used.
+ * It is only a hint, since it may be late or sent by another process. The
+ * endpoint confirms which incarnation it is before the report is used.
  *
  * @instance: name of its incarnation, for the endpoint's calls; may be NULL.
  * @start_time_ms: start time of its incarnation, by which incarnations differ;
--- a/include/hyssopkeel/runtime.h
+++ b/include/hyssopkeel/runtime.h
@@ -104,10 +104,9 @@
  *         @wait_ms for a run to end.
  * @throttle: limit a run to @percent of its full speed.
  * @identify: ask the incarnation @instance for its start time, and change
- *            nothing there; the reply is HK_ERR_NOT_FOUND if another one
- * lives.
- * @address: later calls are meant for the incarnation @instance only, and
- * others reject them.
+ *            nothing there; HK_ERR_NOT_FOUND if it does not live any more.
+ * @address: send later calls to the incarnation @instance only, so that others
+ *           reject them.
  */
 struct hk_runtime_ops
 {
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -383,7 +383,7 @@
       hk_rpc_reply (req, &refusal);
       return;
     }
-  l->connection = hk_rpc_request_connection (req);
+  l->connection = MAX (l->connection, hk_rpc_request_connection (req));
   /* An agent that was silent may have stopped together with its endpoint. */
   in_touch
       = !in->last_report_ms || now - in->last_report_ms < REPORT_GAP_MAX_MS;
--- a/tests/unit/test_policy.c
+++ b/tests/unit/test_policy.c
@@ -349,6 +349,15 @@
                    HK_REPORT_ACCEPTED);
   g_assert_cmpint (hk_report_order_check (&o, G_MAXINT64, now + 1200), ==,
                    HK_REPORT_IMPLAUSIBLE);
+  /* An endpoint that counts in large steps is heard after a while. */
+  g_assert_cmpint (hk_report_order_check (&o, 1000000, now + 1300), ==,
+                   HK_REPORT_IMPLAUSIBLE);
+  g_assert_cmpint (hk_report_order_check (&o, 2000000, now + 2400), ==,
+                   HK_REPORT_IMPLAUSIBLE);
+  g_assert_cmpint (hk_report_order_check (&o, 3000000, now + 3500), ==,
+                   HK_REPORT_ACCEPTED);
+  hk_report_order_init (&o);
+  hk_report_order_check (&o, n, now);
   /* An agent that was away for an hour. */
   g_assert_cmpint (hk_report_order_check (&o, 3000, now + 3600000), ==,
                    HK_REPORT_ACCEPTED);
