--- a/src/runner/runner.h
+++ b/src/runner/runner.h
@@ -82,7 +82,6 @@
                                 and each agent of the endpoint */
   struct hk_report_order report_order;
   struct hk_endpoint_report candidate; /* that the endpoint is to confirm */
-  gboolean has_candidate;
   unsigned confirm_generation;
   unsigned confirm_attempts;
   struct hk_timer confirm_timer;
--- a/src/runner/runner_report.c
+++ b/src/runner/runner_report.c
@@ -100,7 +100,6 @@
 
   hk_timer_clear (&r->confirm_timer);
   r->confirm_generation++;
-  r->has_candidate = FALSE;
   g_free ((char *)c->instance);
   g_free ((char *)c->pool);
   g_strfreev (c->labels);
@@ -115,7 +114,6 @@
   r->candidate.instance = g_strdup (report->instance);
   r->candidate.pool = g_strdup (report->pool);
   r->candidate.labels = g_strdupv (report->labels);
-  r->has_candidate = TRUE;
   r->confirm_attempts = 0;
 }
 
