Log why a task waits though there is room for it

Once a second the coordinator now names the task that waits longest in a step, with the instances by the reason for which they do not take it, and the runs that no report has shown, eight of each at most and the totals beside them. No decision changes: task_fits() returns its reason, and coord_accepts_runs() asks for one.

--- a/include/hyssopkeel/job_placement.h
+++ b/include/hyssopkeel/job_placement.h
@@ -74,6 +74,42 @@
   gboolean usable;
 };
 
+/**
+ * enum hk_job_place_obstacle - why a task does not fit an instance.
+ * @HK_JOB_PLACE_FITS: it fits.
+ * @HK_JOB_PLACE_UNUSABLE: the instance is not in service, or its capacity has
+ *                         shrunk beneath what runs there.
+ * @HK_JOB_PLACE_SAME_STEP: it runs as many tasks of the step as are allowed.
+ * @HK_JOB_PLACE_MEMORY: free memory or accelerators are too few.
+ * @HK_JOB_PLACE_CPU: free CPUs are too few.
+ * @HK_JOB_PLACE_UNRELIABLE: most recent runs there failed.
+ * @HK_JOB_PLACE_SLOW: a best-effort task would have too little of its speed.
+ * @HK_JOB_PLACE_HEADROOM: a best-effort task would take too much of what
+ *                         service tasks leave.
+ */
+enum hk_job_place_obstacle
+{
+  HK_JOB_PLACE_FITS,
+  HK_JOB_PLACE_UNUSABLE,
+  HK_JOB_PLACE_SAME_STEP,
+  HK_JOB_PLACE_MEMORY,
+  HK_JOB_PLACE_CPU,
+  HK_JOB_PLACE_UNRELIABLE,
+  HK_JOB_PLACE_SLOW,
+  HK_JOB_PLACE_HEADROOM
+};
+
+/**
+ * hk_job_place_obstacle() - why a task does not fit an instance.
+ * @v: instance.
+ * @need: task.
+ *
+ * Return: the first obstacle, or HK_JOB_PLACE_FITS.
+ */
+enum hk_job_place_obstacle
+hk_job_place_obstacle (const struct hk_job_place_view *v,
+                       const struct hk_job_place_need *need);
+
 /**
  * hk_job_place_score() - rate an instance for a task.
  * @v: instance.
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -80,6 +80,7 @@
   coord_drain (c, now);
   coord_best_effort_relocate (c, now);
   coord_consolidate (c, now);
+  coord_waiting_report (c, now);
   coord_pass_schedule (c);
 }
 
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -36,6 +36,24 @@
   COORD_LEADING
 };
 
+/* Why an instance does not take a task that waits. */
+enum coord_wait_reason
+{
+  COORD_WAIT_NONE,
+  COORD_WAIT_SILENT,   /* no recent report of the agent */
+  COORD_WAIT_UNKNOWN,  /* the capacity or the size of a run is not known */
+  COORD_WAIT_DRAINING, /* draining or leaving */
+  COORD_WAIT_MISMATCH, /* another pool or label */
+  COORD_WAIT_PAUSED,   /* it refused a start */
+  COORD_WAIT_APART,    /* suspects of crashes run apart from others */
+  COORD_WAIT_FULL,
+  COORD_WAIT_UNRELIABLE, /* most recent runs failed */
+  COORD_WAIT_HEADROOM,   /* too much of what service tasks leave */
+  COORD_WAIT_SLOW,       /* too little speed beside service tasks */
+  COORD_WAIT_SATURATED,  /* the queue of a service task does not drain */
+  COORD_WAIT_REASONS
+};
+
 /* A reported end of a run, acknowledged to the agent once it is committed. */
 struct coord_end
 {
@@ -182,7 +200,8 @@
   struct hk_timer predecessor_timer;
   TAILQ_HEAD (coord_predecessor_list, coord_predecessor) predecessors;
   int64_t predecessor_ceased_ms; /* last answer of one that it does not lead */
-  int64_t consolidated_ms; /* last time service tasks were consolidated */
+  int64_t consolidated_ms;     /* last time service tasks were consolidated */
+  int64_t waiting_reported_ms; /* last report of tasks that wait */
 
   struct hk_engine engine;
   gboolean engine_ready;
@@ -305,6 +324,13 @@
 /* Whether an instance is in service for the tasks of a step. */
 gboolean coord_accepts_runs (const struct hk_instance *in,
                              const struct hk_engine_step *step, int64_t now);
+enum coord_wait_reason
+coord_instance_obstacle (const struct hk_instance *in,
+                         const struct hk_engine_step *step, int64_t now);
+/* Why an instance does not take a task of the step that was begun. */
+enum coord_wait_reason coord_task_obstacle (struct coord_pass *p,
+                                            const struct hk_engine_task *task,
+                                            struct hk_instance *in);
 gboolean coord_has_better_instance (struct hk_coord *c,
                                     const struct hk_engine_task *task,
                                     const struct hk_instance *current,
@@ -347,6 +373,9 @@
 /* coord_consolidate.c */
 void coord_consolidate (struct hk_coord *c, int64_t now);
 
+/* coord_waiting.c */
+void coord_waiting_report (struct hk_coord *c, int64_t now);
+
 /* coord_crash.c */
 void coord_crash_apply (struct hk_coord *c, const struct hk_instance *in,
                         const GPtrArray *runs, const char *why, int64_t now);
--- a/src/coord/coord_candidates.c
+++ b/src/coord/coord_candidates.c
@@ -69,18 +69,29 @@
   return FALSE;
 }
 
+enum coord_wait_reason
+coord_instance_obstacle (const struct hk_instance *in,
+                         const struct hk_engine_step *step, int64_t now)
+{
+  const struct coord_link *l = in->link;
+
+  if (!l || now - in->last_report_ms >= REPORT_AGE_MAX_MS)
+    return COORD_WAIT_SILENT;
+  if (!in->capacity_known || !l->described || l->n_unknown_runs > 0)
+    return COORD_WAIT_UNKNOWN;
+  if (in->draining || in->leaving)
+    return COORD_WAIT_DRAINING;
+  if (strcmp (in->pool, step->job->spec.pool) != 0
+      || !has_label (in, step->spec->label))
+    return COORD_WAIT_MISMATCH;
+  return in->refused_until_ms > now ? COORD_WAIT_PAUSED : COORD_WAIT_NONE;
+}
+
 gboolean
 coord_accepts_runs (const struct hk_instance *in,
                     const struct hk_engine_step *step, int64_t now)
 {
-  const struct coord_link *l = in->link;
-
-  return in->capacity_known && !in->draining && !in->leaving && l
-         && l->described && l->n_unknown_runs == 0
-         && in->refused_until_ms <= now
-         && now - in->last_report_ms < REPORT_AGE_MAX_MS
-         && strcmp (in->pool, step->job->spec.pool) == 0
-         && has_label (in, step->spec->label);
+  return coord_instance_obstacle (in, step, now) == COORD_WAIT_NONE;
 }
 
 /* The caller has zeroed @v and knows that the instance accepts runs. */
@@ -132,6 +143,41 @@
              || v->same_step < spec->per_instance_max);
 }
 
+enum coord_wait_reason
+coord_task_obstacle (struct coord_pass *p, const struct hk_engine_task *task,
+                     struct hk_instance *in)
+{
+  enum coord_wait_reason reason
+      = coord_instance_obstacle (in, task->step, p->now);
+  struct hk_job_place_view v = { 0 };
+
+  if (reason != COORD_WAIT_NONE)
+    return reason;
+  if (has_run_on (task, in))
+    return COORD_WAIT_UNKNOWN;
+  if (!coord_crash_admits (in, task, p->now))
+    return COORD_WAIT_APART;
+  view_instance (p->c, &v, in, task->step, p->now);
+  switch (hk_job_place_obstacle (&v, &p->need))
+    {
+    case HK_JOB_PLACE_FITS:
+      return COORD_WAIT_NONE;
+    case HK_JOB_PLACE_UNUSABLE:
+    case HK_JOB_PLACE_SAME_STEP:
+    case HK_JOB_PLACE_MEMORY:
+    case HK_JOB_PLACE_CPU:
+      return COORD_WAIT_FULL;
+    case HK_JOB_PLACE_UNRELIABLE:
+      return COORD_WAIT_UNRELIABLE;
+    case HK_JOB_PLACE_HEADROOM:
+      return COORD_WAIT_HEADROOM;
+    case HK_JOB_PLACE_SLOW:
+    default:
+      return coord_sharing_of (p->c, in)->saturated ? COORD_WAIT_SATURATED
+                                                    : COORD_WAIT_SLOW;
+    }
+}
+
 gboolean
 coord_has_better_instance (struct hk_coord *c,
                            const struct hk_engine_task *task,
--- a/src/policy/job_placement.c
+++ b/src/policy/job_placement.c
@@ -33,28 +33,31 @@
    instance. */
 #define RUN_TIME_WEIGHT 0.5
 
-static gboolean
-task_fits (const struct hk_job_place_view *v,
-           const struct hk_job_place_need *need)
+enum hk_job_place_obstacle
+hk_job_place_obstacle (const struct hk_job_place_view *v,
+                       const struct hk_job_place_need *need)
 {
   int64_t free_milli
       = need->best_effort ? v->best_effort_free_milli : v->cpu_free_milli;
 
   /* Where the capacity has shrunk beneath what runs, agents start nothing. */
   if (!v->usable || v->cpu_free_milli < 0)
-    return FALSE;
+    return HK_JOB_PLACE_UNUSABLE;
   if (need->per_instance_max > 0 && v->same_step >= need->per_instance_max)
-    return FALSE;
+    return HK_JOB_PLACE_SAME_STEP;
   if (v->memory_free_mb < (int64_t)need->memory_mb
       || v->accelerators_free < (int64_t)need->accelerators)
-    return FALSE;
+    return HK_JOB_PLACE_MEMORY;
   if (need->best_effort && need->starving)
-    return TRUE;
-  if (need->best_effort
-      && (v->failure_rate > FAILURE_RATE_MAX || v->expected_speed < SPEED_MIN
-          || v->headroom_usage > HEADROOM_USAGE_MAX))
-    return FALSE;
-  return free_milli >= (int64_t)need->cpu_milli;
+    return HK_JOB_PLACE_FITS;
+  if (need->best_effort && v->failure_rate > FAILURE_RATE_MAX)
+    return HK_JOB_PLACE_UNRELIABLE;
+  if (need->best_effort && v->expected_speed < SPEED_MIN)
+    return HK_JOB_PLACE_SLOW;
+  if (need->best_effort && v->headroom_usage > HEADROOM_USAGE_MAX)
+    return HK_JOB_PLACE_HEADROOM;
+  return free_milli >= (int64_t)need->cpu_milli ? HK_JOB_PLACE_FITS
+                                                : HK_JOB_PLACE_CPU;
 }
 
 /* Best-effort and service tasks interfere, so they are kept apart while free
@@ -93,7 +96,7 @@
 hk_job_place_score (const struct hk_job_place_view *v,
                     const struct hk_job_place_need *need, double *score)
 {
-  if (!task_fits (v, need))
+  if (hk_job_place_obstacle (v, need) != HK_JOB_PLACE_FITS)
     return FALSE;
   *score = placement_score (v, need);
   return TRUE;
