--- /dev/null
+++ b/tests/coord/test_silent_agents.c
@@ -0,0 +1,111 @@
+/* Agents that fall silent while leaders are replaced every few seconds. */
+#include <glib.h>
+#include <string.h>
+
+#include "coord_support.h"
+#include "hyssopkeel/clock.h"
+#include "hyssopkeel/log.h"
+
+#define JOB "1111111111111111"
+/* Longest wait for a silent agent after a takeover: own_ms, hold_ms and their
+   margins. */
+#define WAIT_MS 2300
+/* Shortest time from the last grant to the end of the last lease. */
+#define GRANT_AND_LEASE_MS 1750
+/* Between two takeovers; shorter than the wait. */
+#define TENURE_MS 1800
+
+struct site
+{
+  struct memory_store store;
+  struct hk_coord *c;
+  unsigned terms;
+  struct agent silent;
+  struct agent other;
+};
+
+/* Replaces the leader by a process that remembers nothing. */
+static void
+site_take_over (struct site *s)
+{
+  struct hk_coord_options options = HK_COORD_OPTIONS_INIT;
+  g_autofree char *name = g_strdup_printf ("e%u", ++s->terms);
+  g_autofree char *address = NULL;
+
+  options.authority = (struct hk_authority){ .own_ms = 1000,
+                                             .grant_ms = 500,
+                                             .hold_ms = 1000 };
+  if (s->c)
+    hk_coord_free (s->c);
+  s->c = coord_start_with (&s->store.base, options, name, &address);
+  test_run_until (is_leading, s->c);
+  if (s->terms == 1)
+    agent_init (&s->silent, "a1", address);
+  if (s->terms == 1)
+    agent_init (&s->other, "a2", address);
+  else
+    agent_reconnect (&s->other, address);
+}
+
+/* Two tasks run on an agent; the other one joins later. */
+static void
+site_init (struct site *s)
+{
+  struct request_result a;
+
+  memset (s, 0, sizeof *s);
+  memory_store_init (&s->store);
+  site_take_over (s);
+  report (&s->silent);
+  send_request (s->c, HK_JOB_REQUEST_SUBMIT, JOB, &a);
+  test_run_until (two_started, &s->silent);
+}
+
+static void
+site_finish (struct site *s)
+{
+  agent_finish (&s->silent);
+  agent_finish (&s->other);
+  hk_coord_free (s->c);
+  memory_store_finish (&s->store);
+}
+
+/* Reports of the other agent until both tasks were started there. */
+static void
+report_until_started (struct site *s, int64_t until_ms)
+{
+  while (s->other.starts < 2 && hk_clock_ms () < until_ms)
+    report (&s->other);
+}
+
+/* Guards against work that stands still for as long as leaders are replaced:
+   each successor waited for a silent agent from the beginning. */
+static void
+chains_of_takeovers_do_not_restart_the_wait (void)
+{
+  struct site s;
+  int64_t silent_ms;
+
+  site_init (&s);
+  silent_ms = hk_clock_ms ();
+  while (s.other.starts < 2 && hk_clock_ms () - silent_ms < 5 * WAIT_MS)
+    {
+      site_take_over (&s);
+      report_until_started (&s, hk_clock_ms () + TENURE_MS);
+    }
+  g_assert_cmpint (s.other.starts, ==, 2);
+  g_assert_cmpint (hk_clock_ms () - silent_ms, >=, GRANT_AND_LEASE_MS);
+  g_assert_cmpint (hk_clock_ms () - silent_ms, <, 3 * WAIT_MS);
+  site_finish (&s);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  if (g_test_verbose ())
+    hk_log_init ("info");
+#define ADD(name) g_test_add_func ("/silent_agents/" #name, name)
+  ADD (chains_of_takeovers_do_not_restart_the_wait);
+  return g_test_run ();
+}
