Keep in the store how long grants of silent agents may last

Cause: a successor knows nothing of an agent that is silent, so it waited for the longest grant that its predecessor may have given and for a lease, 6.85 s after that one had stopped and 16.65 s if it could not be asked. A takeover started the wait anew; a chain of them 4.5 s apart never let it end.

Change: an agent with runs that has not reported for 1 s is listed in hyssopkeel/silent with the time that is left of all grants, written with the commits. A listed agent gets no grant and no start before a commit without it is confirmed, so the list that a successor reads is never older than the last grant; it waits for the rest only. Where the lead record shows a predecessor that keeps no list, the takeover removes it. A load makes one read more.

--- a/include/hyssopkeel/authority.h
+++ b/include/hyssopkeel/authority.h
@@ -59,6 +59,17 @@
 int64_t hk_authority_predecessor_until (const struct hk_authority *a,
                                         int64_t taken_over_ms);
 
+/**
+ * hk_authority_left_until() - latest end of a lease grant, by what another
+ *                             process said of it.
+ * @left_ms: time that was left when the other process said so; negative if the
+ *           grant had ended before.
+ * @at_ms: local time, no earlier than that.
+ *
+ * Return: local time after which the grant is certainly not valid.
+ */
+int64_t hk_authority_left_until (int64_t left_ms, int64_t at_ms);
+
 /**
  * hk_authority_lease_end() - local end of a lease that a worker's clock times.
  * @left_ms: time left on the worker's clock.
--- a/include/hyssopkeel/store.h
+++ b/include/hyssopkeel/store.h
@@ -16,9 +16,10 @@
 #define HK_KEY_CLAIMS "/hyssopkeel/claims/"
 
 /* Keys of the job engine: the leading coordinator, the fence that each commit
-   writes, submitted jobs and their progress. */
+   writes, silent agents, submitted jobs and their progress. */
 #define HK_KEY_LEAD "hyssopkeel/lead"
 #define HK_KEY_FENCE "hyssopkeel/fence"
+#define HK_KEY_SILENT "hyssopkeel/silent"
 #define HK_KEY_SPECS "hyssopkeel/spec/"
 #define HK_KEY_PROGRESS "hyssopkeel/job/"
 
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -195,6 +195,7 @@
     hk_rpc_server_stop (&c->server);
   coord_commit_finish (c);
   hk_engine_finish (&c->engine);
+  g_free (c->loaded_silent);
   g_hash_table_unref (c->estimates);
   g_hash_table_unref (c->mean_work);
   hk_interference_model_finish (&c->interference_model);
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -42,6 +42,7 @@
   COORD_WAIT_NONE,
   COORD_WAIT_SILENT,   /* no recent report of the agent */
   COORD_WAIT_UNKNOWN,  /* the capacity or the size of a run is not known */
+  COORD_WAIT_LISTED,   /* listed as silent in the store */
   COORD_WAIT_DRAINING, /* draining or leaving */
   COORD_WAIT_MISMATCH, /* another pool or label */
   COORD_WAIT_PAUSED,   /* it refused a start */
@@ -143,7 +144,8 @@
   char *address;
   uint64_t term;
   int64_t lead_rev;
-  int64_t adopted_ms; /* when this process learned of it */
+  int64_t adopted_ms;    /* when this process learned of it */
+  gboolean lists_silent; /* it keeps the list of silent agents */
   struct hk_rpc_channel channel;
   gboolean connected;
   gboolean pinging;
@@ -201,12 +203,16 @@
   TAILQ_HEAD (coord_predecessor_list, coord_predecessor) predecessors;
   int64_t predecessor_ceased_ms; /* last answer of one that it does not lead */
   int64_t consolidated_ms;     /* last time service tasks were consolidated */
+  gboolean silent_in_flight;   /* the commit in flight has a list of them */
+  int64_t silent_written_ms;   /* when the last list was built */
   int64_t waiting_reported_ms; /* last report of tasks that wait */
 
   struct hk_engine engine;
   gboolean engine_ready;
   struct coord_commit commit;
   GHashTable *loaded_specs; /* id to GBytes, while COORD_LOADING */
+  char *loaded_silent;      /* list of silent agents, likewise; or NULL */
+  int64_t loaded_silent_ms; /* when that was read */
   struct hk_rpc_server server;
   GHashTable *estimates;
   GHashTable *mean_work;
@@ -266,6 +272,13 @@
 void coord_predecessors_clear (struct hk_coord *c);
 char *coord_predecessors_to_json (const struct hk_coord *c);
 
+/* coord_silent.c */
+gboolean coord_silent_due (const struct hk_coord *c, int64_t now);
+char *coord_silent_next (struct hk_coord *c, int64_t now);
+void coord_silent_committed (struct hk_coord *c);
+void coord_silent_apply (struct hk_coord *c, const char *text,
+                         int64_t read_ms);
+
 /* coord_commit.c */
 void coord_commit_init (struct hk_coord *c);
 void coord_commit_finish (struct hk_coord *c);
--- a/src/coord/coord_commit.c
+++ b/src/coord/coord_commit.c
@@ -6,9 +6,9 @@
 
 #include "hyssopkeel/json.h"
 
-/* Rows that a transaction can hold beside the two operations on the fence
-   key. */
-#define TXN_ROWS_MAX 29
+/* Rows that a transaction can hold beside the two operations on the fence key
+   and the list of silent agents. */
+#define TXN_ROWS_MAX 28
 /* Bytes of a transaction before encoding; bounds its time on a slow link. */
 #define TXN_BYTES_MAX 262144
 /* An idle coordinator commits this often to prove that it still leads: about a
@@ -363,6 +363,7 @@
   k->fence_rev = results->revision;
   k->confirmed_ms = k->sent_ms;
   commit_apply (c);
+  coord_silent_committed (c);
   coord_links_reply (c);
   coord_pass_schedule (c);
 }
@@ -375,12 +376,14 @@
   struct hk_store_txn txn = { .n_compares = 1 };
   struct txn_builder b = { .txn = &txn };
   struct commit_attempt *a;
+  char *silent;
   int64_t now = hk_clock_ms ();
 
   if (c->state != COORD_LEADING || k->in_flight || k->retry.iter)
     return;
   if (c->engine.n_dirty == 0 && !k->leadership_proof_due
-      && now - k->confirmed_ms < IDLE_COMMIT_INTERVAL_MS)
+      && now - k->confirmed_ms < IDLE_COMMIT_INTERVAL_MS
+      && !coord_silent_due (c, now))
     return;
   k->leadership_proof_due = FALSE;
   texts = g_ptr_array_new_with_free_func (g_free);
@@ -396,6 +399,9 @@
      unasked. */
   txn.otherwise[txn.n_otherwise++]
       = (struct hk_store_op){ HK_STORE_GET, HK_KEY_FENCE, NULL, 0, 0 };
+  silent = coord_silent_next (c, now);
+  if (silent)
+    builder_add (&b, HK_STORE_PUT, g_strdup (HK_KEY_SILENT), silent, 0);
   b.rows = 0;
   builder_add_dirty (c, &b);
   builder_add_expired (c, &b);
--- a/src/coord/coord_lead.c
+++ b/src/coord/coord_lead.c
@@ -86,6 +86,7 @@
   if (kv->mod_revision >= c->leader.lead_rev)
     {
       /* The leader, and the predecessors it did not know to have stopped. */
+      c->leader.lists_silent = json_object_object_get_ex (obj, "silent", NULL);
       json_object_object_get_ex (obj, "before", &before);
       coord_predecessors_update (c, address, before);
     }
@@ -139,7 +140,8 @@
   g_autofree char *before = coord_predecessors_to_json (c);
   g_autofree char *lead
       = g_strdup_printf ("{\"term\":%" G_GUINT64_FORMAT
-                         ",\"name\":\"%s\",\"address\":\"%s\",\"before\":%s}",
+                         ",\"name\":\"%s\",\"address\":\"%s\",\"before\":%s,"
+                         "\"silent\":1}",
                          term, c->name, c->address, before);
   g_autofree char *fence
       = g_strdup_printf ("{\"term\":%" G_GUINT64_FORMAT ",\"seq\":0}", term);
@@ -152,6 +154,10 @@
   txn.then[0] = (struct hk_store_op){ HK_STORE_PUT, HK_KEY_LEAD, lead, 0, 0 };
   txn.then[1]
       = (struct hk_store_op){ HK_STORE_PUT, HK_KEY_FENCE, fence, 0, 0 };
+  /* A build that knows no list may have granted what an old one names. */
+  if (!c->leader.lists_silent)
+    txn.then[txn.n_then++]
+        = (struct hk_store_op){ HK_STORE_DELETE, HK_KEY_SILENT, NULL, 0, 0 };
   c->store_calls++;
   c->store->ops->batch (c->store, &txn, 1, on_takeover, c);
 }
@@ -207,7 +213,10 @@
   if (results->n_kvs > 0)
     {
       if (!coord_lead_record_apply (c, &results->kvs[0]))
-        coord_predecessors_add_unknown (c);
+        {
+          coord_predecessors_add_unknown (c);
+          c->leader.lists_silent = FALSE;
+        }
       /* The takeover replaces a malformed record at its own revision. */
       c->leader.lead_rev
           = MAX (c->leader.lead_rev, results->kvs[0].mod_revision);
@@ -289,6 +298,7 @@
   coord_engine_init (c);
   coord_commit_finish (c);
   coord_commit_init (c);
+  c->silent_in_flight = FALSE;
   g_clear_pointer (&c->leader.name, g_free);
   g_clear_pointer (&c->leader.address, g_free);
 }
--- a/src/coord/coord_load.c
+++ b/src/coord/coord_load.c
@@ -82,6 +82,9 @@
   g_clear_pointer (&c->loaded_specs, g_hash_table_unref);
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
   in->inherited_until_ms = coord_predecessors_grant_until (c, now);
+  if (c->loaded_silent)
+    coord_silent_apply (c, c->loaded_silent, c->loaded_silent_ms);
+  g_clear_pointer (&c->loaded_silent, g_free);
   coord_crash_adopt (c);
   c->state = COORD_LEADING;
   hk_log (HK_LOG_INFO, "coord", NULL, NULL,
@@ -94,6 +97,28 @@
   coord_pass_schedule (c);
 }
 
+static void
+on_silent_read (int rc, const struct hk_store_result *results,
+                const struct hk_error *err, void *user)
+{
+  g_autofree struct load *l = user;
+  struct hk_coord *c = l->c;
+
+  if (!load_is_current (l))
+    return;
+  if (rc < 0)
+    {
+      load_retry (c, err);
+      return;
+    }
+  g_clear_pointer (&c->loaded_silent, g_free);
+  if (results->n_kvs > 0 && results->kvs[0].value)
+    c->loaded_silent = g_strdup (results->kvs[0].value);
+  c->loaded_silent_ms = hk_clock_ms ();
+  c->store->ops->range (c->store, HK_KEY_PROGRESS, TRUE, on_progress_read,
+                        load_new (c));
+}
+
 static void
 on_specs_read (int rc, const struct hk_store_result *results,
                const struct hk_error *err, void *user)
@@ -116,7 +141,7 @@
         c->loaded_specs,
         g_strdup (results->kvs[i].key + strlen (HK_KEY_SPECS)),
         g_bytes_new (results->kvs[i].value, results->kvs[i].len));
-  c->store->ops->range (c->store, HK_KEY_PROGRESS, TRUE, on_progress_read,
+  c->store->ops->range (c->store, HK_KEY_SILENT, FALSE, on_silent_read,
                         load_new (c));
 }
 
--- a/src/coord/coord_waiting.c
+++ b/src/coord/coord_waiting.c
@@ -8,17 +8,12 @@
 #define STEPS_MAX 8
 
 static const char *const reason_names[COORD_WAIT_REASONS] = {
-  [COORD_WAIT_NONE] = "fits",
-  [COORD_WAIT_SILENT] = "silent",
-  [COORD_WAIT_UNKNOWN] = "unknown",
-  [COORD_WAIT_DRAINING] = "draining",
-  [COORD_WAIT_MISMATCH] = "mismatch",
-  [COORD_WAIT_PAUSED] = "paused",
-  [COORD_WAIT_APART] = "apart",
-  [COORD_WAIT_FULL] = "full",
-  [COORD_WAIT_UNRELIABLE] = "unreliable",
-  [COORD_WAIT_HEADROOM] = "headroom",
-  [COORD_WAIT_SLOW] = "slow",
+  [COORD_WAIT_NONE] = "fits",           [COORD_WAIT_SILENT] = "silent",
+  [COORD_WAIT_UNKNOWN] = "unknown",     [COORD_WAIT_LISTED] = "listed",
+  [COORD_WAIT_DRAINING] = "draining",   [COORD_WAIT_MISMATCH] = "mismatch",
+  [COORD_WAIT_PAUSED] = "paused",       [COORD_WAIT_APART] = "apart",
+  [COORD_WAIT_FULL] = "full",           [COORD_WAIT_UNRELIABLE] = "unreliable",
+  [COORD_WAIT_HEADROOM] = "headroom",   [COORD_WAIT_SLOW] = "slow",
   [COORD_WAIT_SATURATED] = "saturated",
 };
 
--- a/src/policy/authority.c
+++ b/src/policy/authority.c
@@ -37,6 +37,13 @@
   return taken_over_ms + add_clock_skew (a->own_ms);
 }
 
+int64_t
+hk_authority_left_until (int64_t left_ms, int64_t at_ms)
+{
+  return left_ms > 0 ? at_ms + add_clock_skew (left_ms)
+                     : at_ms + left_ms - (add_clock_skew (left_ms) - left_ms);
+}
+
 int64_t
 hk_authority_lease_end (int64_t left_ms, int64_t at_ms)
 {
--- a/tests/coord/test_silent_agents.c
+++ b/tests/coord/test_silent_agents.c
@@ -99,6 +99,48 @@
   site_finish (&s);
 }
 
+static gboolean
+has_grant (void *user)
+{
+  struct agent *a = user;
+
+  report (a);
+  return a->grant_ms > 0;
+}
+
+/* An agent that was silent and reports again: its successor must not trust
+   what the store says of the time before. */
+static void
+grants_after_a_silence_are_waited_for (void)
+{
+  struct site s;
+  int64_t granted_ms;
+
+  site_init (&s);
+  test_run_for (1600);
+  s.store.delay_writes = 1000;
+  report (&s.silent);
+  g_assert_cmpuint (s.silent.grant_ms, ==, 0);
+  s.store.delay_writes = 0;
+  test_run_until (has_grant, &s.silent);
+  granted_ms = hk_clock_ms ();
+  site_take_over (&s);
+  report_until_started (&s, granted_ms + 3 * WAIT_MS);
+  g_assert_cmpint (s.other.starts, ==, 2);
+  g_assert_cmpint (hk_clock_ms () - granted_ms, >=, GRANT_AND_LEASE_MS);
+  site_finish (&s);
+}
+
+/* Clocks may differ by two percent, in either direction. */
+static void
+times_that_others_measured_include_their_skew (void)
+{
+  g_assert_cmpint (hk_authority_left_until (10000, 500), >=, 10700);
+  g_assert_cmpint (hk_authority_left_until (0, 500), ==, 500);
+  g_assert_cmpint (hk_authority_left_until (-10000, 500), >=, -9300);
+  g_assert_cmpint (hk_authority_left_until (-10000, 500), <, -9000);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -107,5 +149,7 @@
     hk_log_init ("info");
 #define ADD(name) g_test_add_func ("/silent_agents/" #name, name)
   ADD (chains_of_takeovers_do_not_restart_the_wait);
+  ADD (grants_after_a_silence_are_waited_for);
+  ADD (times_that_others_measured_include_their_skew);
   return g_test_run ();
 }
