Withdraw runs that a silent agent was never ordered to start

Cause: such a run was kept like one that may be executing, until all leases on that agent had expired. Evidence: run_unconfirmed ordered=0 committed=1 agent_heard_ms_ago=1563 released_in_ms=5454. After a takeover it can't be told from an ordered one, and waits in full.

No order was sent, so nothing can execute them.

--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -312,10 +312,12 @@
 }
 
 /* Ends unwanted runs that were placed here but never ordered: they need no
-   stop order. Returns whether there were any. */
+   stop order. All of them are unwanted while the agent is silent. Returns
+   whether there were any. */
 static gboolean
 unordered_runs_end (struct hk_instance *in, int64_t now)
 {
+  gboolean silent = now - in->last_report_ms >= REPORT_GAP_MAX_MS;
   gboolean ended = FALSE;
   struct hk_run *run;
   struct hk_run *next;
@@ -324,15 +326,15 @@
     {
       next = LIST_NEXT (run, link);
       /* Nothing may start on a draining instance. */
-      if (in->draining && !run->started_ms)
+      if ((in->draining && !run->started_ms) || (silent && !run->may_execute))
         run->to_stop = TRUE;
       if (run->to_stop && !run->may_execute)
         {
           hk_log (HK_LOG_INFO, "sync", in->name, run->task->step->job->spec.id,
                   "event=run_withdrawn why=\"never ordered\" step=%u index=%u "
-                  "run=%u draining=%d",
+                  "run=%u draining=%d silent=%d",
                   run->task->step->index, run->task->index, run->number,
-                  in->draining);
+                  in->draining, silent);
           hk_engine_run_end (run, HK_END_REFUSED, NULL, now, coord_wall_ms ());
           ended = TRUE;
         }
@@ -430,7 +432,8 @@
   runs_end_lost (c, in, runs, "leases expired", now);
 }
 
-/* Ends the runs of instances whose leases have certainly expired. */
+/* Ends the runs of instances whose leases have certainly expired, and those
+   that were never ordered of silent instances. */
 void
 coord_runs_expire (struct hk_coord *c, int64_t now)
 {
@@ -440,6 +443,7 @@
   {
     int64_t until = MAX (in->granted_until_ms, in->inherited_until_ms);
 
+    unordered_runs_end (in, now);
     if (LIST_EMPTY (&in->runs)
         || now <= hk_authority_terminated_at (&c->authority, until))
       continue;
--- a/tests/coord/test_silent_agents.c
+++ b/tests/coord/test_silent_agents.c
@@ -12,6 +12,8 @@
 #define WAIT_MS 2300
 /* Shortest time from the last grant to the end of the last lease. */
 #define GRANT_AND_LEASE_MS 1750
+/* The platform counts a job as lost if nothing of it runs for this long. */
+#define STANDING_MAX_MS 3000
 /* Between two takeovers; shorter than the wait. */
 #define TENURE_MS 1800
 
@@ -131,6 +133,38 @@
   site_finish (&s);
 }
 
+/* Guards against a wait for nothing: a run whose order had never been sent was
+   kept on an agent that had fallen silent until leases there had expired. */
+static void
+runs_that_were_never_ordered_are_placed_elsewhere (void)
+{
+  struct memory_store store;
+  struct request_result a;
+  struct agent silent;
+  struct agent other;
+  g_autofree char *address = NULL;
+  struct hk_coord *c;
+  int64_t silent_ms;
+
+  memory_store_init (&store);
+  c = coord_start (&store, "e1", &address);
+  test_run_until (is_leading, c);
+  agent_init (&silent, "a1", address);
+  report (&silent);
+  silent_ms = hk_clock_ms ();
+  send_request (c, HK_JOB_REQUEST_SUBMIT, JOB, &a);
+  test_run_until (has_reply, &a);
+  agent_init (&other, "a2", address);
+  while (other.starts < 2 && hk_clock_ms () - silent_ms < 3 * WAIT_MS)
+    report (&other);
+  g_assert_cmpint (other.starts, ==, 2);
+  g_assert_cmpint (hk_clock_ms () - silent_ms, <, STANDING_MAX_MS);
+  agent_finish (&silent);
+  agent_finish (&other);
+  hk_coord_free (c);
+  memory_store_finish (&store);
+}
+
 /* Clocks may differ by two percent, in either direction. */
 static void
 times_that_others_measured_include_their_skew (void)
@@ -150,6 +184,7 @@
 #define ADD(name) g_test_add_func ("/silent_agents/" #name, name)
   ADD (chains_of_takeovers_do_not_restart_the_wait);
   ADD (grants_after_a_silence_are_waited_for);
+  ADD (runs_that_were_never_ordered_are_placed_elsewhere);
   ADD (times_that_others_measured_include_their_skew);
   return g_test_run ();
 }
