Grant leases to agents that return while the store is down

By reading: an agent that fell silent during an outage of the store was listed in a commit that could not end, and would have got no grant until the store answered again, while its leader may bridge 12 s. Such an agent is listed once commits succeed. silent_agents passes.

--- a/src/coord/coord_silent.c
+++ b/src/coord/coord_silent.c
@@ -20,7 +20,11 @@
 
   if (LIST_EMPTY (&in->runs))
     return FALSE;
-  return now - heard_ms >= SILENT_MS || (in->listed && !in->last_report_ms);
+  if (in->listed && !in->last_report_ms)
+    return TRUE;
+  /* An agent that returns during an outage of the store must get grants. */
+  return now - heard_ms >= SILENT_MS
+         && (in->listed || !c->commit.failing_since_ms);
 }
 
 /* Whether the list in the store has to change. */
