--- a/tests/coord/coord_support.c
+++ b/tests/coord/coord_support.c
@@ -11,7 +11,8 @@
 coord_start_with (struct hk_store *store, struct hk_coord_options options,
                   const char *name, char **address)
 {
-  g_autofree char *addr = test_address ();
+  g_autofree char *addr
+      = options.address ? g_strdup (options.address) : test_address ();
   struct hk_error err;
   struct hk_coord *c;
 
--- a/tests/coord/coord_support.h
+++ b/tests/coord/coord_support.h
@@ -58,8 +58,9 @@
   unsigned state;
 };
 
-/** coord_start_with() - start a coordinator; @address, unless NULL, is set to
- * its address, which the caller frees. */
+/** coord_start_with() - start a coordinator, at the address of @options if it
+ * names one; @address, unless NULL, is set to the address, which the caller
+ * frees. */
 struct hk_coord *coord_start_with (struct hk_store *store,
                                    struct hk_coord_options options,
                                    const char *name, char **address);
