Carry in the lead record how long ago predecessors were superseded

Cause: a coordinator took the time at which it first saw the record of a successor for the time at which the former leader was superseded. One that has restarted has seen no record before, so with two entries that lead in turn and are restarted between, the wait for the authority of a third one that is gone (own_ms) began anew with each restart.

Change: before_ages_ms in the lead record, beside the list of addresses, says how long ago each of them had been superseded when its writer sent its takeover, 0 for the leader that it replaced. That is a lower bound for every later reader, so a wait that counts from the age that is read, or from an earlier record seen by the process itself, ends no sooner than the authority. The authority's margin for clocks of other speed covers a sum of times measured on several clocks as it does one measurement. Builds before read the addresses as they did; a record without ages counts as before, and so does an age that is negative, longer than any authority, no integer, or of a list of another length.

What remains: a wait makes no progress between two takeovers if no other entry is up while one leads, since only a takeover writes the ages.

--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -151,8 +151,8 @@
 };
 
 /* A former leader that may still give lease grants. None of its commits was
-   confirmed after @superseded_ms, on this process's clock; 0 while the lead
-   record names it as leader. */
+   confirmed after @superseded_ms, on this process's clock, which may be before
+   the process started; 0 while the lead record names it as leader. */
 struct coord_predecessor
 {
   struct hk_coord *c;
@@ -258,7 +258,7 @@
 
 /* coord_predecessor.c */
 void coord_predecessors_update (struct hk_coord *c, const char *leader,
-                                json_object *before);
+                                json_object *record);
 void coord_predecessors_add_unknown (struct hk_coord *c);
 void coord_predecessors_supersede (struct hk_coord *c, int64_t now);
 int64_t coord_predecessors_grant_until (const struct hk_coord *c, int64_t now);
--- a/src/coord/coord_lead.c
+++ b/src/coord/coord_lead.c
@@ -61,7 +61,6 @@
 {
   g_autoptr (json_object) obj = NULL;
   struct hk_error err;
-  json_object *before = NULL;
   const char *name;
   const char *address;
   uint64_t term;
@@ -84,11 +83,7 @@
         return TRUE;
     }
   if (kv->mod_revision >= c->leader.lead_rev)
-    {
-      /* The leader, and the predecessors it did not know to have stopped. */
-      json_object_object_get_ex (obj, "before", &before);
-      coord_predecessors_update (c, address, before);
-    }
+    coord_predecessors_update (c, address, obj);
   leader_adopt (c, name, address, term, kv->mod_revision);
   return TRUE;
 }
@@ -137,10 +132,9 @@
   struct hk_store_txn txn = { .n_compares = 1, .n_then = 2 };
   uint64_t term = c->leader.term + 1;
   g_autofree char *before = coord_predecessors_to_json (c);
-  g_autofree char *lead
-      = g_strdup_printf ("{\"term\":%" G_GUINT64_FORMAT
-                         ",\"name\":\"%s\",\"address\":\"%s\",\"before\":%s}",
-                         term, c->name, c->address, before);
+  g_autofree char *lead = g_strdup_printf (
+      "{\"term\":%" G_GUINT64_FORMAT ",\"name\":\"%s\",\"address\":\"%s\",%s}",
+      term, c->name, c->address, before);
   g_autofree char *fence
       = g_strdup_printf ("{\"term\":%" G_GUINT64_FORMAT ",\"seq\":0}", term);
 
--- a/src/coord/coord_predecessor.c
+++ b/src/coord/coord_predecessor.c
@@ -46,38 +46,82 @@
   g_free (p);
 }
 
-/* Records a predecessor that the lead record lists, as leader or superseded.
-   A known superseded_ms is kept. */
-static void
-predecessor_record (struct hk_coord *c, const char *address, gboolean leads)
+/* Returns the entry of a predecessor that the lead record lists, NULL for this
+   process itself. */
+static struct coord_predecessor *
+predecessor_list (struct hk_coord *c, const char *address)
 {
   struct coord_predecessor *p = predecessor_find (c, address);
 
   if (strcmp (address, c->address) == 0)
-    return;
+    return NULL;
   if (!p)
     p = predecessor_add (c, address);
   p->listed = TRUE;
-  if (leads)
+  return p;
+}
+
+static void
+leader_record (struct hk_coord *c, const char *address)
+{
+  struct coord_predecessor *p = predecessor_list (c, address);
+
+  if (p)
     p->superseded_ms = 0;
-  else if (p->superseded_ms == 0)
-    p->superseded_ms = hk_clock_ms ();
 }
 
-/* Replaces the list by that of a lead record: its leader and the leader's
-   predecessors. superseded_ms is the time of the first record seen to say so,
-   not of the latest, so that a chain of takeovers does not restart the wait
+/* Records a predecessor that was superseded at least @age_ms ago. The earliest
+   such time is kept, so that a chain of takeovers does not restart the wait
    for unresponsive agents each time. */
+static void
+superseded_record (struct hk_coord *c, const char *address, int64_t age_ms)
+{
+  struct coord_predecessor *p = predecessor_list (c, address);
+  int64_t superseded_ms = hk_clock_ms () - age_ms;
+
+  if (p && (p->superseded_ms == 0 || superseded_ms < p->superseded_ms))
+    p->superseded_ms = superseded_ms;
+}
+
+/* Age of the predecessor at index @i of the lead record: a lower bound, since
+   the writer measured it before its takeover. Ages that no writer can have
+   measured, and those of a list that does not match, count as 0. */
+static int64_t
+superseded_age_ms (const struct hk_coord *c, json_object *before,
+                   json_object *ages, size_t i)
+{
+  json_object *value;
+  int64_t age_ms;
+
+  if (!json_object_is_type (ages, json_type_array)
+      || json_object_array_length (ages) != json_object_array_length (before))
+    return 0;
+  value = json_object_array_get_idx (ages, i);
+  if (!json_object_is_type (value, json_type_int))
+    return 0;
+  age_ms = json_object_get_int64 (value);
+  return age_ms >= 0
+                 && age_ms <= hk_authority_predecessor_until (&c->authority, 0)
+             ? age_ms
+             : 0;
+}
+
+/* Replaces the list by that of a lead record: its leader and the leader's
+   predecessors. */
 void
 coord_predecessors_update (struct hk_coord *c, const char *leader,
-                           json_object *before)
+                           json_object *record)
 {
   struct coord_predecessor *p;
   struct coord_predecessor *next;
+  json_object *before = NULL;
+  json_object *ages = NULL;
 
+  json_object_object_get_ex (record, "before", &before);
+  json_object_object_get_ex (record, "before_ages_ms", &ages);
   TAILQ_FOREACH (p, &c->predecessors, link)
   p->listed = FALSE;
-  predecessor_record (c, leader, TRUE);
+  leader_record (c, leader);
   if (json_object_is_type (before, json_type_array))
     for (size_t i = 0; i < json_object_array_length (before); i++)
       {
@@ -85,7 +129,7 @@
             = json_object_get_string (json_object_array_get_idx (before, i));
 
         if (text && strcmp (text, leader) != 0)
-          predecessor_record (c, text, FALSE);
+          superseded_record (c, text, superseded_age_ms (c, before, ages, i));
       }
   for (p = TAILQ_FIRST (&c->predecessors); p; p = next)
     {
@@ -100,7 +144,7 @@
 void
 coord_predecessors_add_unknown (struct hk_coord *c)
 {
-  predecessor_record (c, UNREACHABLE_ADDRESS, TRUE);
+  leader_record (c, UNREACHABLE_ADDRESS);
 }
 
 /* This process took over: no earlier term can commit any more. */
@@ -137,23 +181,28 @@
     predecessor_free (TAILQ_FIRST (&c->predecessors));
 }
 
-/* JSON array for the lead record: addresses of the predecessors whose grants
-   may still be valid. */
+/* Members of the lead record: addresses of the predecessors whose grants may
+   still be valid, and for how long each has been superseded. */
 char *
 coord_predecessors_to_json (const struct hk_coord *c)
 {
   const struct coord_predecessor *p;
-  GString *text = g_string_new ("[");
+  g_autoptr (GString) before = g_string_new (NULL);
+  g_autoptr (GString) ages = g_string_new (NULL);
   int64_t now = hk_clock_ms ();
 
   TAILQ_FOREACH (p, &c->predecessors, link)
-  if (p->superseded_ms == 0
-      || hk_authority_predecessor_until (&c->authority, p->superseded_ms)
-             >= now)
-    g_string_append_printf (text, "%s\"%s\"", text->len > 1 ? "," : "",
-                            p->address);
-  g_string_append_c (text, ']');
-  return g_string_free (text, FALSE);
+  {
+    const char *separator = before->len > 0 ? "," : "";
+    int64_t age_ms = p->superseded_ms ? now - p->superseded_ms : 0;
+
+    if (hk_authority_predecessor_until (&c->authority, -age_ms) < 0)
+      continue;
+    g_string_append_printf (before, "%s\"%s\"", separator, p->address);
+    g_string_append_printf (ages, "%s%" G_GINT64_FORMAT, separator, age_ms);
+  }
+  return g_strdup_printf ("\"before\":[%s],\"before_ages_ms\":[%s]",
+                          before->str, ages->str);
 }
 
 /* Lowers the limit of inherited grants after a predecessor has stopped. */
--- a/tests/coord/test_takeover_chain.c
+++ b/tests/coord/test_takeover_chain.c
@@ -2,9 +2,8 @@
 #include <glib.h>
 #include <string.h>
 
+#include "../../src/coord/coord.h"
 #include "coord_support.h"
-#include "hyssopkeel/clock.h"
-#include "hyssopkeel/log.h"
 
 #define JOB "1111111111111111"
 /* Time between two takeovers, and until the former leader is back. */
@@ -149,6 +148,92 @@
   site_finish (&s);
 }
 
+#define LEADER "127.0.0.1:2"
+#define PREDECESSOR "127.0.0.1:3"
+
+static void
+record_apply (struct hk_coord *c, const char *leader, const char *before,
+              const char *ages)
+{
+  g_autofree char *text = g_strdup_printf (
+      "{\"term\":%" G_GUINT64_FORMAT ",\"name\":\"%s\",\"address\":\"%s\","
+      "\"before\":[\"%s\"]%s%s}",
+      ++c->leader.term, leader, leader, before,
+      ages ? ",\"before_ages_ms\":" : "", ages ? ages : "");
+  struct hk_store_kv kv = { .key = HK_KEY_LEAD,
+                            .value = text,
+                            .len = strlen (text),
+                            .mod_revision = c->leader.lead_rev + 1 };
+
+  g_assert_true (coord_lead_record_apply (c, &kv));
+}
+
+/* -1 if the lead record names it as leader. */
+static int64_t
+known_age_ms (const struct hk_coord *c, const char *address)
+{
+  const struct coord_predecessor *p;
+
+  TAILQ_FOREACH (p, &c->predecessors, link)
+  if (strcmp (p->address, address) == 0)
+    return p->superseded_ms ? hk_clock_ms () - p->superseded_ms : -1;
+  g_assert_not_reached ();
+}
+
+static struct hk_coord *
+reader_new (void)
+{
+  struct hk_coord_options options = HK_COORD_OPTIONS_INIT;
+
+  options.name = "e4";
+  options.address = "127.0.0.1:4";
+  options.authority = authority;
+  return hk_coord_new (NULL, &options);
+}
+
+/* Guards against runs placed too early: an age of a lead record is believed
+   only if its writer can have measured it. */
+static void
+malformed_ages_shorten_no_wait (void)
+{
+  static const char *const malformed[] = {
+    NULL,     "[]",     "[2000,1]", "[-1]",     "[\"2000\"]",
+    "[null]", "{}",     "2000",     "[2000.5]", "[[2000]]",
+    "[6151]", "[1e30]", "[999999]", "[true]",   "[9223372036854775807]"
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (malformed); i++)
+    {
+      struct hk_coord *c = reader_new ();
+
+      record_apply (c, LEADER, PREDECESSOR, malformed[i]);
+      g_assert_cmpint (known_age_ms (c, PREDECESSOR), >=, 0);
+      g_assert_cmpint (known_age_ms (c, PREDECESSOR), <, 1000);
+      hk_coord_free (c);
+    }
+}
+
+/* The oldest of all readings counts, until the predecessor leads again. */
+static void
+ages_are_carried_on (void)
+{
+  struct hk_coord *c = reader_new ();
+  g_autofree char *json = NULL;
+
+  record_apply (c, LEADER, PREDECESSOR, "[2000]");
+  g_assert_cmpint (known_age_ms (c, LEADER), ==, -1);
+  record_apply (c, LEADER, PREDECESSOR, "[0]");
+  g_assert_cmpint (known_age_ms (c, PREDECESSOR), >=, 2000);
+  json = coord_predecessors_to_json (c);
+  g_assert_true (g_str_has_prefix (json,
+                                   "\"before\":[\"" LEADER "\",\"" PREDECESSOR
+                                   "\"],\"before_ages_ms\":[0,2"));
+  record_apply (c, PREDECESSOR, LEADER, "[0]");
+  record_apply (c, LEADER, PREDECESSOR, "[0]");
+  g_assert_cmpint (known_age_ms (c, PREDECESSOR), <, 1000);
+  hk_coord_free (c);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -156,6 +241,8 @@
   if (g_test_verbose ())
     hk_log_init ("info");
 #define ADD(name) g_test_add_func ("/takeover_chain/" #name, name)
+  ADD (malformed_ages_shorten_no_wait);
+  ADD (ages_are_carried_on);
   ADD (restarted_entries_do_not_restart_the_wait);
   return g_test_run ();
 }
