Show that takeovers restart the pauses after crashes

/takeover_chain/takeovers_do_not_restart_pauses_after_crashes stores a task that is to pause for 4 s after its sixth crash, and replaces the leader every 2.5 s.

--- a/tests/coord/test_takeover_chain.c
+++ b/tests/coord/test_takeover_chain.c
@@ -148,6 +148,75 @@
   site_finish (&s);
 }
 
+static void
+on_put (int rc, const struct hk_store_result *results,
+        const struct hk_error *err, void *user)
+{
+  (void)err;
+  (void)user;
+  g_assert_true (rc == HK_OK && results->succeeded);
+}
+
+/* Stores a service task that endpoints have crashed under six times, the last
+   time now, so that it is to pause for 4 s. */
+static void
+crashed_task_put (struct memory_store *s)
+{
+  const unsigned counts[] = { 1, 0 };
+  hk_job_spec *spec = test_job_spec_new (JOB, counts, HK_STEP_SERVICE);
+  struct hk_store_txn txn = { .n_then = 2 };
+  g_autofree char *bytes = NULL;
+  g_autofree char *progress = NULL;
+  struct hk_engine e;
+  struct hk_engine_job *job;
+  size_t len = 0;
+  size_t progress_len = 0;
+
+  hk_engine_init (&e);
+  job = hk_engine_submit (&e, spec, hk_clock_ms (), coord_wall_ms ());
+  job->steps[0].tasks[0].last_run = 6;
+  job->steps[0].tasks[0].crash
+      = (struct hk_crash_history){ .crashes = 6, .age_ms = 210 };
+  hk_engine_encode_spec (&bytes, &len, job);
+  hk_engine_encode_progress (&progress, &progress_len, job);
+  txn.then[0]
+      = (struct hk_store_op){ HK_STORE_PUT, HK_KEY_SPECS JOB, bytes, len, 0 };
+  txn.then[1] = (struct hk_store_op){ HK_STORE_PUT, HK_KEY_PROGRESS JOB,
+                                      progress, progress_len, 0 };
+  s->base.ops->batch (&s->base, &txn, 1, on_put, NULL);
+  hk_engine_finish (&e);
+  test_job_spec_free (spec);
+}
+
+static gboolean
+one_placed (const struct site *s)
+{
+  return s->agent.starts > 0;
+}
+
+/* Guards against a pause without end: it began anew with each takeover. */
+static void
+takeovers_do_not_restart_pauses_after_crashes (void)
+{
+  struct site s;
+  int64_t began_ms;
+  int64_t took_ms;
+
+  site_init (&s);
+  began_ms = hk_clock_ms ();
+  crashed_task_put (&s.store);
+  entry_start (&s, 0);
+  agent_init (&s.agent, "a2", s.addresses[0]);
+  leader_begin (&s, 0);
+  entry_start (&s, 1);
+  chain_run (&s, one_placed, 12000);
+  took_ms = hk_clock_ms () - began_ms;
+  g_assert_true (one_placed (&s));
+  g_assert_cmpint (took_ms, >=, 3900);
+  g_assert_cmpint (took_ms, <, 4000 + TENURE_MS);
+  site_finish (&s);
+}
+
 #define LEADER "127.0.0.1:2"
 #define PREDECESSOR "127.0.0.1:3"
 
@@ -243,6 +312,7 @@
 #define ADD(name) g_test_add_func ("/takeover_chain/" #name, name)
   ADD (malformed_ages_shorten_no_wait);
   ADD (ages_are_carried_on);
+  ADD (takeovers_do_not_restart_pauses_after_crashes);
   ADD (restarted_entries_do_not_restart_the_wait);
   return g_test_run ();
 }
