Keep in the records since when suspects wait

Cause: a load set ready_ms of each waiting task to the time of the load. The pause of a service task after crashes (0.5 to 4 s), the time after which a suspect of one crash runs beside others (2 s) and that after which suspects may take one more instance (5 s) count from there, so a chain of takeovers that is shorter than one of them made it endless.

Change: behind the crashes, the record of a job has the time of day since when each task that endpoints crashed under waits; a load takes it over, as it does the age of the job. It is written with the end of the run, so no commit is added. A successor whose clock is behind begins the wait anew, as before, and leaves the stored time as it is; one whose clock is ahead ends it early. These waits spread starts and tell causes from bystanders; no guarantee rests on them. Builds before ignore what follows the crashes, and records without it count as before. Other waiting tasks still count from the load: whether they starve is known only once the agents have reported.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -119,6 +119,7 @@
  * @failures: runs that failed.
  * @ready_ms: time of the last event that could make it ready: submission, the
  *            end of a task of an earlier step, or the end of its own run.
+ * @ready_wall_ms: the same, time of day; 0 if unknown.
  * @checkpoint: newest checkpoint, or NULL.
  * @crash: crashes of endpoints that it may have caused.
  * @reserved_until_ms: it waits until then for an instance that is kept free of
@@ -134,6 +135,7 @@
   unsigned last_run;
   unsigned failures;
   int64_t ready_ms;
+  int64_t ready_wall_ms;
   char *checkpoint;
   struct hk_crash_history crash;
   int64_t reserved_until_ms;
--- a/include/hyssopkeel/hk_job_xdr.h
+++ b/include/hyssopkeel/hk_job_xdr.h
@@ -119,6 +119,21 @@
 };
 typedef struct hk_job_crashes hk_job_crashes;
 
+struct hk_task_wait {
+	u_int step;
+	u_int index;
+	quad_t ready_ms;
+};
+typedef struct hk_task_wait hk_task_wait;
+
+struct hk_job_waits {
+	struct {
+		u_int tasks_len;
+		hk_task_wait *tasks_val;
+	} tasks;
+};
+typedef struct hk_job_waits hk_job_waits;
+
 struct hk_task_id {
 	char *job;
 	u_int occurrence;
@@ -347,6 +362,8 @@
 extern  bool_t xdr_hk_job_progress (XDR *, hk_job_progress*);
 extern  bool_t xdr_hk_task_crashes (XDR *, hk_task_crashes*);
 extern  bool_t xdr_hk_job_crashes (XDR *, hk_job_crashes*);
+extern  bool_t xdr_hk_task_wait (XDR *, hk_task_wait*);
+extern  bool_t xdr_hk_job_waits (XDR *, hk_job_waits*);
 extern  bool_t xdr_hk_task_id (XDR *, hk_task_id*);
 extern  bool_t xdr_hk_run_report (XDR *, hk_run_report*);
 extern  bool_t xdr_hk_end_how (XDR *, hk_end_how*);
@@ -372,6 +389,8 @@
 extern bool_t xdr_hk_job_progress ();
 extern bool_t xdr_hk_task_crashes ();
 extern bool_t xdr_hk_job_crashes ();
+extern bool_t xdr_hk_task_wait ();
+extern bool_t xdr_hk_job_waits ();
 extern bool_t xdr_hk_task_id ();
 extern bool_t xdr_hk_run_report ();
 extern bool_t xdr_hk_end_how ();
--- a/src/engine/engine.c
+++ b/src/engine/engine.c
@@ -187,6 +187,13 @@
   TAILQ_INSERT_TAIL (&e->dirty, job, dirty_link);
 }
 
+static void
+task_ready (struct hk_engine_task *task, int64_t now_ms, int64_t wall_ms)
+{
+  task->ready_ms = now_ms;
+  task->ready_wall_ms = wall_ms;
+}
+
 struct hk_engine_job *
 hk_engine_submit (struct hk_engine *e, const hk_job_spec *spec, int64_t now_ms,
                   int64_t wall_ms)
@@ -201,7 +208,7 @@
   job->accepted_wall_ms = wall_ms;
   for (unsigned i = 0; i < job->spec.steps.steps_len; i++)
     for (unsigned t = 0; t < job->steps[i].spec->count; t++)
-      job->steps[i].tasks[t].ready_ms = now_ms;
+      task_ready (&job->steps[i].tasks[t], now_ms, wall_ms);
   TAILQ_INSERT_TAIL (&e->active, job, link);
   hk_engine_job_mark_dirty (job);
   return job;
@@ -371,7 +378,7 @@
          i++)
       for (unsigned t = 0; t < step->job->steps[i].spec->count; t++)
         if (step->job->steps[i].tasks[t].state == HK_TASK_WAITING)
-          step->job->steps[i].tasks[t].ready_ms = now_ms;
+          task_ready (&step->job->steps[i].tasks[t], now_ms, wall_ms);
 }
 
 static void
@@ -425,7 +432,7 @@
         {
           task->state = HK_TASK_WAITING;
           task->step->waiting++;
-          task->ready_ms = now_ms;
+          task_ready (task, now_ms, wall_ms);
         }
     }
   hk_engine_job_mark_dirty (job);
--- a/src/engine/engine_priv.h
+++ b/src/engine/engine_priv.h
@@ -22,6 +22,15 @@
 void engine_crashes_load (struct hk_engine_job *job,
                           const hk_job_crashes *list);
 
+/* Fills in the suspects that wait; @out has room for all tasks. Returns their
+   number. */
+unsigned engine_waits_collect (const struct hk_engine_job *job,
+                               hk_task_wait *out);
+
+/* Lets the tasks wait since the stored times. */
+void engine_waits_load (struct hk_engine_job *job, const hk_job_waits *list,
+                        int64_t now_ms, int64_t wall_ms);
+
 /* Deep copy, to be released with xdr_free(). Returns HK_ERR_TOO_BIG and leaves
    @out zeroed if a field is over its limit. */
 int engine_copy_spec (hk_job_spec *out, const hk_job_spec *spec);
--- a/src/engine/engine_record.c
+++ b/src/engine/engine_record.c
@@ -26,24 +26,35 @@
   return HK_OK;
 }
 
-/* A progress record: @crashes follows @progress unless it is empty. @len is
+/* A progress record: @crashes follows @progress unless it is empty, and
+   @waits, which are those of tasks in @crashes, follows it likewise. @len is
    the length of a record that is decoded. */
 struct progress_record
 {
   hk_job_progress progress;
   hk_job_crashes crashes;
+  hk_job_waits waits;
   size_t len;
 };
 
+/* Whether no part of @n entries follows. */
+static gboolean
+record_ends (XDR *xdr, const struct progress_record *r, u_int n)
+{
+  return xdr->x_op == XDR_DECODE ? xdr_getpos (xdr) >= r->len : n == 0;
+}
+
 static bool_t
 xdr_progress_record (XDR *xdr, struct progress_record *r)
 {
   if (!xdr_hk_job_progress (xdr, &r->progress))
     return FALSE;
-  if (xdr->x_op == XDR_DECODE ? xdr_getpos (xdr) >= r->len
-                              : r->crashes.tasks.tasks_len == 0)
+  if (record_ends (xdr, r, r->crashes.tasks.tasks_len))
     return TRUE;
-  return xdr_hk_job_crashes (xdr, &r->crashes);
+  if (!xdr_hk_job_crashes (xdr, &r->crashes))
+    return FALSE;
+  return record_ends (xdr, r, r->waits.tasks.tasks_len)
+         || xdr_hk_job_waits (xdr, &r->waits);
 }
 
 static void
@@ -51,6 +62,7 @@
 {
   xdr_free ((xdrproc_t)xdr_hk_job_progress, (char *)&r->progress);
   xdr_free ((xdrproc_t)xdr_hk_job_crashes, (char *)&r->crashes);
+  xdr_free ((xdrproc_t)xdr_hk_job_waits, (char *)&r->waits);
 }
 
 static int
@@ -189,6 +201,7 @@
   g_autofree hk_task_progress *tasks = NULL;
   g_autofree hk_place_name *names = NULL;
   g_autofree hk_task_crashes *crashes = NULL;
+  g_autofree hk_task_wait *waits = NULL;
   struct progress_record r
       = { .progress = { .state = job->state,
                         .accepted_ms = job->accepted_wall_ms,
@@ -204,6 +217,9 @@
       crashes = g_new0 (hk_task_crashes, job->n_tasks);
       r.crashes.tasks.tasks_len = engine_crashes_collect (job, crashes);
       r.crashes.tasks.tasks_val = crashes;
+      waits = g_new0 (hk_task_wait, job->n_tasks);
+      r.waits.tasks.tasks_len = engine_waits_collect (job, waits);
+      r.waits.tasks.tasks_val = waits;
     }
   names = g_new0 (hk_place_name, places->len);
   for (guint i = 0; i < places->len; i++)
@@ -319,6 +335,7 @@
     engine_tombstone_mark (job);
   load_tasks (job, p, now_ms);
   engine_crashes_load (job, &r.crashes);
+  engine_waits_load (job, &r.waits, now_ms, wall_ms);
   if (hk_engine_job_active (job))
     TAILQ_INSERT_TAIL (&e->active, job, link);
   else
--- a/src/rpc/hk_job.x
+++ b/src/rpc/hk_job.x
@@ -97,6 +97,18 @@
   hk_task_crashes tasks<HK_JOB_TASKS_MAX>;
 };
 
+/* A suspect that waits; ready_ms is the time of day since when. */
+struct hk_task_wait {
+  unsigned step;
+  unsigned index;
+  hyper ready_ms;
+};
+
+/* Follows hk_job_crashes in its record, likewise. */
+struct hk_job_waits {
+  hk_task_wait tasks<HK_JOB_TASKS_MAX>;
+};
+
 struct hk_task_id {
   string job<HK_JOB_NAME_MAX>;
   unsigned occurrence;
--- a/src/rpc/hk_job_xdr.c
+++ b/src/rpc/hk_job_xdr.c
@@ -424,6 +424,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hk_task_wait (XDR *xdrs, hk_task_wait *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->step))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->ready_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hk_job_waits (XDR *xdrs, hk_job_waits *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, HK_JOB_TASKS_MAX,
+		sizeof (hk_task_wait), (xdrproc_t) xdr_hk_task_wait))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hk_task_id (XDR *xdrs, hk_task_id *objp)
 {
--- a/tests/coord/test_takeover_chain.c
+++ b/tests/coord/test_takeover_chain.c
@@ -217,6 +217,50 @@
   site_finish (&s);
 }
 
+/* Other builds write records without waits, and read those with them. A time
+   of day that lies ahead, or is none, begins the wait anew. */
+static void
+records_with_waits_extend_those_without (void)
+{
+  const unsigned counts[] = { 2, 0 };
+  const int64_t stored[] = { 0, 7000, 9001, -1, G_MININT64, G_MAXINT64 };
+  const int64_t loaded[] = { 100, -1900, 100, 100, 100, 100 };
+  hk_job_spec *spec = test_job_spec_new (JOB, counts, HK_STEP_SERVICE);
+  g_autofree char *bytes = NULL;
+  g_autofree char *old = NULL;
+  size_t len = 0;
+  size_t old_len = 0;
+  struct hk_error err;
+  struct hk_engine e;
+  struct hk_engine_job *job;
+
+  hk_engine_init (&e);
+  job = hk_engine_submit (&e, spec, 0, 0);
+  job->steps[0].tasks[1].crash.crashes = 1;
+  hk_engine_encode_spec (&bytes, &len, job);
+  hk_engine_encode_progress (&old, &old_len, job);
+  for (gsize i = 0; i < G_N_ELEMENTS (stored); i++)
+    {
+      g_autofree char *new = NULL;
+      size_t new_len = 0;
+
+      job->steps[0].tasks[1].ready_wall_ms = stored[i];
+      hk_engine_encode_progress (&new, &new_len, job);
+      g_assert_cmpuint (new_len, >=, old_len);
+      g_assert_cmpmem (new, old_len, old, old_len);
+      g_assert_cmpint (new_len > old_len, ==, stored[i] > 0);
+      hk_engine_job_remove (job);
+      g_assert_cmpint (hk_engine_job_load (&e, JOB, bytes, len, new, new_len,
+                                           100, 9000, &err),
+                       ==, HK_OK);
+      job = hk_engine_job_find (&e, JOB);
+      g_assert_cmpint (job->steps[0].tasks[0].ready_ms, ==, 100);
+      g_assert_cmpint (job->steps[0].tasks[1].ready_ms, ==, loaded[i]);
+    }
+  test_job_spec_free (spec);
+  hk_engine_finish (&e);
+}
+
 #define LEADER "127.0.0.1:2"
 #define PREDECESSOR "127.0.0.1:3"
 
@@ -312,6 +356,7 @@
 #define ADD(name) g_test_add_func ("/takeover_chain/" #name, name)
   ADD (malformed_ages_shorten_no_wait);
   ADD (ages_are_carried_on);
+  ADD (records_with_waits_extend_those_without);
   ADD (takeovers_do_not_restart_pauses_after_crashes);
   ADD (restarted_entries_do_not_restart_the_wait);
   return g_test_run ();
