Show that a predecessor's missed term shortens the wait for it

A process that did not see the record in which a former leader led again keeps the time of its first replacement, and may place runs while grants of the second term are valid. The record is missed if the process reads the lead record before its watch has told of the one between, whose event is then older and ignored, or if the store no longer has that event.

/takeover_chain/predecessors_may_have_led_in_missed_terms fails in each run: 2 s are counted instead of 0.5 s.

--- a/tests/coord/test_takeover_chain.c
+++ b/tests/coord/test_takeover_chain.c
@@ -271,7 +271,7 @@
   g_autofree char *text = g_strdup_printf (
       "{\"term\":%" G_GUINT64_FORMAT ",\"name\":\"%s\",\"address\":\"%s\","
       "\"before\":[\"%s\"]%s%s}",
-      ++c->leader.term, leader, leader, before,
+      c->leader.term + 1, leader, leader, before,
       ages ? ",\"before_ages_ms\":" : "", ages ? ages : "");
   struct hk_store_kv kv = { .key = HK_KEY_LEAD,
                             .value = text,
@@ -326,6 +326,21 @@
     }
 }
 
+/* Guards against runs placed too early: a predecessor led again in a term
+   whose record this process has not seen. */
+static void
+predecessors_may_have_led_in_missed_terms (void)
+{
+  struct hk_coord *c = reader_new ();
+
+  record_apply (c, LEADER, PREDECESSOR, "[2000]");
+  c->leader.term++;
+  record_apply (c, LEADER, PREDECESSOR, "[500]");
+  g_assert_cmpint (known_age_ms (c, PREDECESSOR), >=, 500);
+  g_assert_cmpint (known_age_ms (c, PREDECESSOR), <, 1500);
+  hk_coord_free (c);
+}
+
 /* The oldest of all readings counts, until the predecessor leads again. */
 static void
 ages_are_carried_on (void)
@@ -355,6 +370,7 @@
     hk_log_init ("info");
 #define ADD(name) g_test_add_func ("/takeover_chain/" #name, name)
   ADD (malformed_ages_shorten_no_wait);
+  ADD (predecessors_may_have_led_in_missed_terms);
   ADD (ages_are_carried_on);
   ADD (records_with_waits_extend_those_without);
   ADD (takeovers_do_not_restart_pauses_after_crashes);
