Show work that stands still through takeovers in the soak

Cause: the soak killed no process because it led, had no work that lasts, no check of rule LOST, and let everything heal for 16 s before it looked at what was accepted.

Some jobs then last, some are best-effort work; workers report figures and honour /api/pace. All runs check that no accepted work stands still for 3 s while there is room; standing.c has what excuses it.

--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -1,6 +1,7 @@
 #ifndef SOAK_CLIENTS_H
 #define SOAK_CLIENTS_H
 
+#include "standing.h"
 #include "store.h"
 #include "worker.h"
 
@@ -18,6 +19,32 @@
   gboolean stopping;
 };
 
+/**
+ * struct soak_job - a job that was submitted.
+ * @attempts: requests to submit it.
+ * @may_be_accepted: an attempt without a clear answer may have been carried
+ *                   out.
+ * @to_cancel: it is cancelled some time after it was accepted.
+ * @failed: it was shown as failed.
+ * @over: all its tasks were seen to be done.
+ * @waits: of the job, or of each task of one that lasts.
+ */
+struct soak_job
+{
+  struct soak_clients *c;
+  char *id;
+  enum soak_job_kind kind;
+  unsigned attempts;
+  gboolean may_be_accepted;
+  gboolean accepted;
+  gboolean cancelled;
+  gboolean to_cancel;
+  unsigned cancel_attempts;
+  gboolean failed;
+  gboolean over;
+  struct soak_wait waits[SOAK_FIRST_STEP_TASKS];
+};
+
 /**
  * struct soak_clients - clients that submit, cancel and query jobs over
  * connections that they keep.
@@ -39,6 +66,7 @@
  * @stalled_ms: when this process last fell behind, so that times measured
  *              before are wrong.
  * @submit_deadly: whether some jobs have such a task.
+ * @submit_lasting: some jobs last, and some are best-effort work.
  * @odd: jobs have specs and images that are odd, and not deadly.
  */
 struct soak_clients
@@ -63,6 +91,7 @@
   unsigned cut_exempt;
   int64_t stalled_ms;
   gboolean submit_deadly;
+  gboolean submit_lasting;
   gboolean odd;
 };
 
@@ -78,12 +107,17 @@
  * connections to every entry without a break. */
 void soak_clients_start (struct soak_clients *c, unsigned interval_ms);
 
+/** soak_clients_set_interval() - submit a job each @interval_ms from now on.
+ */
+void soak_clients_set_interval (struct soak_clients *c, unsigned interval_ms);
+
 /** soak_clients_pause() - submit and repeat nothing; open requests and
  * retries go on. */
 void soak_clients_pause (struct soak_clients *c);
 
 /** soak_clients_check() - query every accepted job; each must be completed,
- * cancelled or failed with cause. */
+ * cancelled or failed with cause. In a chain of takeovers, which goes on, it
+ * must be known; soak_standing_check() requires that it runs. */
 void soak_clients_check (struct soak_clients *c);
 
 /** soak_clients_finish() - abort open requests and release all memory held. */
--- a/tests/soak/runs.h
+++ b/tests/soak/runs.h
@@ -26,6 +26,14 @@
  * later. */
 void soak_run_stop (struct soak_worker *w, json_object *body);
 
+/** soak_run_pace() - let a run work, and disturb others, at a share of its
+ * speed. */
+void soak_run_pace (struct soak_worker *w, json_object *body);
+
+/** soak_runs_count() - runs that go on, only best-effort ones or only the
+ * others. */
+unsigned soak_runs_count (const struct soak_worker *w, gboolean filling);
+
 /** soak_lease_renew() - extend the lease and forget acknowledged ends. */
 void soak_lease_renew (struct soak_worker *w, json_object *body);
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -4,7 +4,9 @@
 #include <sys/queue.h>
 
 #include "../scenario/relay.h"
+#include "chain.h"
 #include "clients.h"
+#include "standing.h"
 
 /**
  * struct soak_node - a process under test.
@@ -17,6 +19,10 @@
  * @start_at_ms: when it is started again.
  * @thaw_at_ms: when it continues; 0 unless it is frozen.
  * @heal_at_ms: when its links are healed; 0 unless one is disturbed.
+ * @silent_until_ms: end of the last silence of an agent in a chain.
+ * @disrupted_ms: last time at which it, its links or its worker were seen
+ *                disrupted.
+ * @away_ms: total time in which it did not answer.
  */
 struct soak_node
 {
@@ -31,6 +37,9 @@
   int64_t start_at_ms;
   int64_t thaw_at_ms;
   int64_t heal_at_ms;
+  int64_t silent_until_ms;
+  int64_t disrupted_ms;
+  int64_t away_ms;
 };
 
 /**
@@ -46,6 +55,8 @@
   struct soak_store store;
   struct soak_oracle oracle;
   struct soak_clients clients;
+  struct soak_chain chain;
+  struct soak_standing standing;
   struct soak_worker *workers;
   struct soak_node *nodes;
   unsigned n_entries;
@@ -72,4 +83,14 @@
  * recover everything at once. */
 void soak_recover_due (struct soak *s, gboolean all);
 
+/** soak_node_end() - send a signal that ends a process, which is started again
+ * @down_ms later. */
+void soak_node_end (struct soak_node *n, int sig, int64_t down_ms);
+
+/** soak_node_freeze() - stop a process for @ms. */
+void soak_node_freeze (struct soak_node *n, int64_t ms);
+
+/** soak_node_cut() - cut a process off from the store for @ms. */
+void soak_node_cut (struct soak_node *n, int64_t ms);
+
 #endif
--- /dev/null
+++ b/tests/soak/specs.c
@@ -0,0 +1,77 @@
+/* Submissions of the soak's jobs. */
+#include "specs.h"
+
+#include "oracle.h"
+
+/* Of so many jobs one may have a task that crashes its workers, one may last,
+   and some may be best-effort work. */
+#define KINDS_TOTAL 30
+#define KIND_DEADLY 0
+#define KIND_LASTING 1
+#define KIND_FILLING_MAX 5
+
+#define RESOURCES                                                             \
+  "\"cpu\":" G_STRINGIFY (SOAK_TASK_CPU_MILLI) ",\"memMb\":" G_STRINGIFY (    \
+      SOAK_TASK_MEMORY_MB)
+#define FIRST_STEP                                                            \
+  "{\"count\":" G_STRINGIFY (SOAK_FIRST_STEP_TASKS) "," RESOURCES
+#define LAST_STEP                                                             \
+  "{\"count\":1," RESOURCES ",\"estimateMs\":300,\"after\":[0]}"
+
+static char *
+odd_job_body (const char *id)
+{
+  static const gsize lengths[] = { 0, 201, 5000, 65536 };
+  g_autofree char *image
+      = g_strnfill (lengths[g_str_hash (id) % G_N_ELEMENTS (lengths)], 'i');
+
+  return g_strdup_printf ("{\"spec\":\"" SOAK_SPEC_ODD_JSON
+                          "\",\"steps\":[" FIRST_STEP ",\"estimateMs\":300,"
+                          "\"checkpointing\":true,\"image\":\"%s\"}," LAST_STEP
+                          "]}",
+                          image);
+}
+
+enum soak_job_kind
+soak_job_pick_kind (GRand *rand, gboolean odd, gboolean deadly,
+                    gboolean lasting)
+{
+  /* Drawn in any case, so that a seed has the same job ids in all modes. */
+  int n = g_rand_int_range (rand, 0, KINDS_TOTAL);
+
+  if (odd)
+    return SOAK_JOB_ODD;
+  if (n == KIND_DEADLY)
+    return deadly ? SOAK_JOB_DEADLY : SOAK_JOB_PLAIN;
+  if (n > KIND_FILLING_MAX || !lasting)
+    return SOAK_JOB_PLAIN;
+  return n == KIND_LASTING ? SOAK_JOB_LASTING : SOAK_JOB_FILLING;
+}
+
+char *
+soak_job_body (enum soak_job_kind kind, const char *id)
+{
+  guint image = g_str_hash (id) % SOAK_IMAGES;
+
+  switch (kind)
+    {
+    case SOAK_JOB_ODD:
+      return odd_job_body (id);
+    case SOAK_JOB_LASTING:
+      return g_strdup_printf (
+          "{\"spec\":\"" SOAK_SPEC_LASTING "%u\",\"steps\":[" FIRST_STEP
+          ",\"longRunning\":true,\"targetMs\":%d,\"image\":\"serve-%u\"}]}",
+          image, SOAK_TARGET_MS, image);
+    case SOAK_JOB_FILLING:
+      return g_strdup_printf ("{\"spec\":\"" SOAK_SPEC_FILLING
+                              "%u\",\"steps\":[" FIRST_STEP
+                              ",\"estimateMs\":1500,\"fills\":true,\"image\":"
+                              "\"fill-%u\"}," LAST_STEP "]}",
+                              image, image);
+    default:
+      return g_strdup_printf ("{\"spec\":\"%s\",\"steps\":[" FIRST_STEP
+                              ",\"estimateMs\":300}," LAST_STEP "]}",
+                              kind == SOAK_JOB_DEADLY ? SOAK_SPEC_DEADLY
+                                                      : "text");
+    }
+}
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -170,6 +170,19 @@
   notify_watches (s);
 }
 
+char *
+soak_store_get (const struct soak_store *s, const char *key)
+{
+  const struct item *item = g_hash_table_lookup (s->items, key);
+  g_autofree guchar *bytes = NULL;
+  gsize len;
+
+  if (!item)
+    return NULL;
+  bytes = g_base64_decode (item->value, &len);
+  return g_strndup ((const char *)bytes, len);
+}
+
 static json_object *
 get_key (struct soak_store *s, const char *key, unsigned *status)
 {
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -53,4 +53,8 @@
 /** soak_store_put() - write an item as an operator; @value is JSON text. */
 void soak_store_put (struct soak_store *s, const char *key, const char *value);
 
+/** soak_store_get() - value of an item as text, newly allocated; NULL if there
+ * is none. */
+char *soak_store_get (const struct soak_store *s, const char *key);
+
 #endif
