Show that a predecessor's missed term shortens the wait for it

A process that did not see the record in which a former leader led again keeps the time of its first replacement, and may place runs while grants of the second term are valid. The record is missed if the process reads the lead record before its watch has told of the one between, whose event is then older and ignored, or if the store no longer has that event.

/takeover_chain/predecessors_may_have_led_in_missed_terms fails in each run: 2 s are counted instead of 0.5 s.

--- a/tests/coord/test_takeover_chain.c
+++ b/tests/coord/test_takeover_chain.c
@@ -264,14 +264,15 @@
 #define LEADER "127.0.0.1:2"
 #define PREDECESSOR "127.0.0.1:3"
 
+/* Applies the lead record of the term after @missed others. */
 static void
-record_apply (struct hk_coord *c, const char *leader, const char *before,
-              const char *ages)
+record_apply (struct hk_coord *c, unsigned missed, const char *leader,
+              const char *before, const char *ages)
 {
   g_autofree char *text = g_strdup_printf (
       "{\"term\":%" G_GUINT64_FORMAT ",\"name\":\"%s\",\"address\":\"%s\","
       "\"before\":[\"%s\"]%s%s}",
-      ++c->leader.term, leader, leader, before,
+      c->leader.term + 1 + missed, leader, leader, before,
       ages ? ",\"before_ages_ms\":" : "", ages ? ages : "");
   struct hk_store_kv kv = { .key = HK_KEY_LEAD,
                             .value = text,
@@ -319,13 +320,27 @@
     {
       struct hk_coord *c = reader_new ();
 
-      record_apply (c, LEADER, PREDECESSOR, malformed[i]);
+      record_apply (c, 0, LEADER, PREDECESSOR, malformed[i]);
       g_assert_cmpint (known_age_ms (c, PREDECESSOR), >=, 0);
       g_assert_cmpint (known_age_ms (c, PREDECESSOR), <, 1000);
       hk_coord_free (c);
     }
 }
 
+/* Guards against runs placed too early: a predecessor led again in a term
+   whose record this process has not seen. */
+static void
+predecessors_may_have_led_in_missed_terms (void)
+{
+  struct hk_coord *c = reader_new ();
+
+  record_apply (c, 0, LEADER, PREDECESSOR, "[2000]");
+  record_apply (c, 1, LEADER, PREDECESSOR, "[500]");
+  g_assert_cmpint (known_age_ms (c, PREDECESSOR), >=, 500);
+  g_assert_cmpint (known_age_ms (c, PREDECESSOR), <, 1500);
+  hk_coord_free (c);
+}
+
 /* The oldest of all readings counts, until the predecessor leads again. */
 static void
 ages_are_carried_on (void)
@@ -333,16 +348,16 @@
   struct hk_coord *c = reader_new ();
   g_autofree char *json = NULL;
 
-  record_apply (c, LEADER, PREDECESSOR, "[2000]");
+  record_apply (c, 0, LEADER, PREDECESSOR, "[2000]");
   g_assert_cmpint (known_age_ms (c, LEADER), ==, -1);
-  record_apply (c, LEADER, PREDECESSOR, "[0]");
+  record_apply (c, 0, LEADER, PREDECESSOR, "[0]");
   g_assert_cmpint (known_age_ms (c, PREDECESSOR), >=, 2000);
   json = coord_predecessors_to_json (c);
   g_assert_true (g_str_has_prefix (json,
                                    "\"before\":[\"" LEADER "\",\"" PREDECESSOR
                                    "\"],\"before_ages_ms\":[0,2"));
-  record_apply (c, PREDECESSOR, LEADER, "[0]");
-  record_apply (c, LEADER, PREDECESSOR, "[0]");
+  record_apply (c, 0, PREDECESSOR, LEADER, "[0]");
+  record_apply (c, 0, LEADER, PREDECESSOR, "[0]");
   g_assert_cmpint (known_age_ms (c, PREDECESSOR), <, 1000);
   hk_coord_free (c);
 }
@@ -355,6 +370,7 @@
     hk_log_init ("info");
 #define ADD(name) g_test_add_func ("/takeover_chain/" #name, name)
   ADD (malformed_ages_shorten_no_wait);
+  ADD (predecessors_may_have_led_in_missed_terms);
   ADD (ages_are_carried_on);
   ADD (records_with_waits_extend_those_without);
   ADD (takeovers_do_not_restart_pauses_after_crashes);
