Forget when predecessors were superseded after a gap in the terms

Cause: a known superseded_ms was kept unless a record named that predecessor as leader. A process that misses this record, since it read a later one first or the store's events were gone, kept the time of the first replacement. The predecessor may hold authority from its second term until own_ms after that term's last commit, and its runs were taken for ended sooner.

Change: if the term of a lead record is not the next one, known times do not count, and those of the record do: its writer replaced the leader before it, so it cannot have missed that one's record, and its ages are lower bounds.

Evidence: /takeover_chain/predecessors_may_have_led_in_missed_terms failed before (2 s counted, 0.5 s in the record) and passes; takeover_chain, lead and coord pass.

--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -258,7 +258,7 @@
 
 /* coord_predecessor.c */
 void coord_predecessors_update (struct hk_coord *c, const char *leader,
-                                json_object *record);
+                                json_object *record, gboolean gap);
 void coord_predecessors_add_unknown (struct hk_coord *c);
 void coord_predecessors_supersede (struct hk_coord *c, int64_t now);
 int64_t coord_predecessors_grant_until (const struct hk_coord *c, int64_t now);
--- a/src/coord/coord_lead.c
+++ b/src/coord/coord_lead.c
@@ -83,7 +83,7 @@
         return TRUE;
     }
   if (kv->mod_revision >= c->leader.lead_rev)
-    coord_predecessors_update (c, address, obj);
+    coord_predecessors_update (c, address, obj, term > c->leader.term + 1);
   leader_adopt (c, name, address, term, kv->mod_revision);
   return TRUE;
 }
--- a/src/coord/coord_predecessor.c
+++ b/src/coord/coord_predecessor.c
@@ -107,10 +107,11 @@
 }
 
 /* Replaces the list by that of a lead record: its leader and the leader's
-   predecessors. */
+   predecessors. These may have led again in a term of which no record was
+   seen, as @gap says, so their known times do not count then. */
 void
 coord_predecessors_update (struct hk_coord *c, const char *leader,
-                           json_object *record)
+                           json_object *record, gboolean gap)
 {
   struct coord_predecessor *p;
   struct coord_predecessor *next;
@@ -120,7 +121,11 @@
   json_object_object_get_ex (record, "before", &before);
   json_object_object_get_ex (record, "before_ages_ms", &ages);
   TAILQ_FOREACH (p, &c->predecessors, link)
-  p->listed = FALSE;
+  {
+    p->listed = FALSE;
+    if (gap)
+      p->superseded_ms = 0;
+  }
   leader_record (c, leader);
   if (json_object_is_type (before, json_type_array))
     for (size_t i = 0; i < json_object_array_length (before); i++)
