--- a/src/coord/coord_lead.c
+++ b/src/coord/coord_lead.c
@@ -85,7 +85,7 @@
   if (kv->mod_revision >= c->leader.lead_rev)
     {
       c->leader.lists_silent = json_object_object_get_ex (obj, "silent", NULL);
-      coord_predecessors_update (c, address, obj);
+      coord_predecessors_update (c, address, obj, term > c->leader.term + 1);
     }
   leader_adopt (c, name, address, term, kv->mod_revision);
   return TRUE;
