Grant leases through outages to agents that were silent for a moment

Found by review of the list of silent agents: an agent that had been silent for 1 s was listed although its grants were valid, and if the store went down just then it got no grant until the store answered, so its leases ended in outages that its leader bridges for 12 s. A load that took 1 s listed all.

An agent that this leader has heard is listed only when its grants have ended; the silence of others counts from the end of the load. Agents whose ended runs are not stored yet stay listed. Listing and unlisting are logged, and the fields have names that say what is listed.

Both new cases of silent_agents failed before (no grant), and pass.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -257,8 +257,8 @@
  * @last_report_ms: time of the last report; 0 if none.
  * @granted_until_ms: no lease grant of this process to the agent lasts longer.
  * @inherited_until_ms: no lease grant of a predecessor lasts longer.
- * @listed: the store may list it as silent, so it gets no lease grant.
- * @list_sent: the last list that was sent to the store names it.
+ * @listed_silent: the store may list it as silent, so it gets no lease grant.
+ * @in_last_list: the last list of silent agents that was sent names it.
  * @used_cpu_milli: CPUs declared by all runs except best-effort ones, milli.
  * @best_effort_cpu_milli: CPUs declared by best-effort runs, milli.
  * @service_cpu_milli: part of @used_cpu_milli declared by service runs.
@@ -299,8 +299,8 @@
   int64_t last_report_ms;
   int64_t granted_until_ms;
   int64_t inherited_until_ms;
-  gboolean listed;
-  gboolean list_sent;
+  gboolean listed_silent;
+  gboolean in_last_list;
   unsigned used_cpu_milli;
   unsigned best_effort_cpu_milli;
   unsigned service_cpu_milli;
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -85,7 +85,7 @@
 }
 
 /* Whether there are runs of agents that have not reported to this coordinator
-   yet; a successor would have to wait for these agents from the beginning. */
+   yet; a successor would have to wait for these agents longer. */
 static gboolean
 awaits_agents (const struct hk_coord *c)
 {
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -192,6 +192,7 @@
   gboolean lead_read_failed; /* the last read of the lead record failed */
   int64_t suspected_rev;     /* of the record of the suspected leader */
   int64_t taken_over_ms;
+  int64_t leading_since_ms;            /* agents are heard since then */
   int64_t pinged_ms;                   /* last ping by a follower */
   int64_t leader_unreachable_since_ms; /* 0 while a leader answers */
   struct hk_timer watch_retry;
--- a/src/coord/coord_candidates.c
+++ b/src/coord/coord_candidates.c
@@ -77,7 +77,7 @@
 
   if (!l || now - in->last_report_ms >= REPORT_AGE_MAX_MS)
     return COORD_WAIT_SILENT;
-  if (in->listed)
+  if (in->listed_silent)
     return COORD_WAIT_LISTED;
   if (!in->capacity_known || !l->described || l->n_unknown_runs > 0)
     return COORD_WAIT_UNKNOWN;
--- a/src/coord/coord_load.c
+++ b/src/coord/coord_load.c
@@ -87,6 +87,7 @@
   g_clear_pointer (&c->loaded_silent, g_free);
   coord_crash_adopt (c);
   c->state = COORD_LEADING;
+  c->leading_since_ms = now;
   hk_log (HK_LOG_INFO, "coord", NULL, NULL,
           "event=recovered term=%" G_GUINT64_FORMAT
           " jobs=%u records=%zu took_ms=%" G_GINT64_FORMAT,
--- a/src/coord/coord_silent.c
+++ b/src/coord/coord_silent.c
@@ -1,30 +1,36 @@
 /* Silent agents: how much longer the lease grants may last that any
    coordinator has given them. The leader keeps this in the store, so that a
    successor waits for the rest only. An agent that is listed there gets no
-   grant before a commit without it is confirmed; a list that a successor reads
-   is therefore never older than the last grant. */
+   grant before a commit without it is confirmed; so a list that a successor
+   reads names no agent that was granted anything since. */
 #include "coord.h"
 
-/* An agent without a report for this long is listed. */
+/* An agent without a report for this long is listed, unless a grant that this
+   process gave it may still be valid. */
 #define SILENT_MS 1000
 /* A list that goes with another commit is written again after this time. */
 #define REWRITE_MS 300
 /* What a list may say of one agent; a longer silence changes nothing. */
 #define LEFT_MAX_MS 600000
 
+/* A listed agent gets no grant while commits fail. So an agent that was heard
+   is listed only when it would have none, and no agent is during an outage of
+   the store. */
 static gboolean
 should_list (const struct hk_coord *c, const struct hk_instance *in,
              int64_t now)
 {
-  int64_t heard_ms = MAX (in->last_report_ms, c->taken_over_ms);
-
-  if (LIST_EMPTY (&in->runs))
+  /* The records of runs that have ended may not fit the next commit. */
+  if (LIST_EMPTY (&in->runs) && !(in->listed_silent && c->engine.n_dirty > 0))
     return FALSE;
-  if (in->listed && !in->last_report_ms)
-    return TRUE;
-  /* An agent that returns during an outage of the store must get grants. */
-  return now - heard_ms >= SILENT_MS
-         && (in->listed || !c->commit.failing_since_ms);
+  if (!in->last_report_ms)
+    return in->listed_silent
+           || (now - c->leading_since_ms >= SILENT_MS
+               && !c->commit.failing_since_ms);
+  if (now - in->last_report_ms < SILENT_MS)
+    return FALSE;
+  return in->listed_silent
+         || (now >= in->granted_until_ms && !c->commit.failing_since_ms);
 }
 
 /* Whether the list in the store has to change. */
@@ -34,7 +40,7 @@
   const struct hk_instance *in;
 
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
-  if (in->listed != should_list (c, in, now))
+  if (in->listed_silent != should_list (c, in, now))
     return TRUE;
   return FALSE;
 }
@@ -45,7 +51,7 @@
   const struct hk_instance *in;
 
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
-  if (in->listed)
+  if (in->listed_silent)
     return TRUE;
   return FALSE;
 }
@@ -59,16 +65,20 @@
 
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
   {
-    int64_t until = MAX (in->granted_until_ms, in->inherited_until_ms);
+    int64_t left_ms = MAX (in->granted_until_ms, in->inherited_until_ms) - now;
 
-    in->list_sent = should_list (c, in, now);
-    if (!in->list_sent)
+    in->in_last_list = should_list (c, in, now);
+    if (!in->in_last_list)
       continue;
-    in->listed = TRUE;
-    json_object_object_add (left, in->name,
-                            json_object_new_int64 (until - now));
+    if (!in->listed_silent)
+      hk_log (HK_LOG_INFO, "coord", in->name, NULL,
+              "event=agent_listed grants_left_ms=%" G_GINT64_FORMAT
+              " runs=%u; it gets no grants until it is off the list",
+              left_ms, in->n_runs);
+    in->listed_silent = TRUE;
+    json_object_object_add (left, in->name, json_object_new_int64 (left_ms));
   }
-  json_object_object_add (obj, "left_ms", left);
+  json_object_object_add (obj, "grants_left_ms", left);
   return g_strdup (json_object_to_json_string (obj));
 }
 
@@ -98,10 +108,15 @@
   c->silent_in_flight = FALSE;
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
   {
-    gboolean was_listed = in->listed;
+    gboolean was_listed = in->listed_silent;
 
-    in->listed = in->list_sent;
-    if (was_listed && !in->listed && in->link)
+    in->listed_silent = in->in_last_list;
+    if (!was_listed || in->listed_silent)
+      continue;
+    hk_log (HK_LOG_INFO, "coord", in->name, NULL,
+            "event=agent_unlisted heard_ms_ago=%" G_GINT64_FORMAT,
+            in->last_report_ms ? hk_clock_ms () - in->last_report_ms : -1);
+    if (in->link)
       coord_link_reply (in->link, TRUE);
   }
 }
@@ -113,10 +128,10 @@
   struct hk_instance *in = hk_engine_instance_get (&c->engine, name);
   int64_t until = hk_authority_left_until (left_ms, read_ms);
 
-  in->listed = TRUE;
+  in->listed_silent = TRUE;
   in->inherited_until_ms = MIN (in->inherited_until_ms, until);
   hk_log (HK_LOG_INFO, "coord", name, NULL,
-          "event=agent_silent left_ms=%" G_GINT64_FORMAT
+          "event=agent_silent grants_left_ms=%" G_GINT64_FORMAT
           " released_in_ms=%" G_GINT64_FORMAT,
           left_ms,
           hk_authority_terminated_at (&c->authority, in->inherited_until_ms)
@@ -137,7 +152,7 @@
       hk_log_error ("coord", NULL, &err);
       return;
     }
-  if (!json_object_object_get_ex (obj, "left_ms", &left)
+  if (!json_object_object_get_ex (obj, "grants_left_ms", &left)
       || !json_object_is_type (left, json_type_object))
     return;
   json_object_object_foreach (left, name, value)
--- a/src/coord/coord_sync_reply.c
+++ b/src/coord/coord_sync_reply.c
@@ -81,7 +81,7 @@
         run->ordered_ms = now;
       }
     else if (run->version <= run->task->step->job->committed_version
-             && !in->draining && !in->listed && commit_is_recent)
+             && !in->draining && !in->listed_silent && commit_is_recent)
       {
         hk_start_order start = { 0 };
 
@@ -171,7 +171,7 @@
   reply.leadership_unconfirmed = coord_store_failing (c, now);
   until
       = hk_authority_grant_until (&c->authority, now, c->commit.confirmed_ms);
-  if (until > l->received_ms && !l->in->listed)
+  if (until > l->received_ms && !l->in->listed_silent)
     {
       reply.grant_ms = (u_int)(until - l->received_ms);
       l->in->granted_until_ms = MAX (l->in->granted_until_ms, until);
--- a/tests/coord/test_silent_agents.c
+++ b/tests/coord/test_silent_agents.c
@@ -165,6 +165,83 @@
   memory_store_finish (&store);
 }
 
+/* A leader, and an agent that it has granted leases for two runs. */
+static struct hk_coord *
+leader_start (struct memory_store *store, struct agent *a)
+{
+  g_autofree char *address = NULL;
+  struct hk_coord *c = coord_start (store, "e1", &address);
+  struct request_result r;
+
+  test_run_until (is_leading, c);
+  agent_init (a, "a1", address);
+  report (a);
+  send_request (c, HK_JOB_REQUEST_SUBMIT, JOB, &r);
+  test_run_until (two_started, a);
+  report (a);
+  return c;
+}
+
+/* Guards against leases that end in an outage of the store which their leader
+   could bridge: an agent that had been silent for a moment got no grants. */
+static void
+outages_after_a_short_silence_are_bridged (void)
+{
+  struct memory_store store;
+  struct agent a;
+  struct hk_coord *c;
+
+  memory_store_init (&store);
+  c = leader_start (&store, &a);
+  test_run_for (1300);
+  store.delay_writes = 100000;
+  report (&a);
+  report (&a);
+  g_assert_cmpuint (a.grant_ms, >, 0);
+  agent_finish (&a);
+  hk_coord_free (c);
+  memory_store_finish (&store);
+}
+
+/* The same after a load for which the store took long: nobody was heard
+   meanwhile. */
+static void
+outages_after_a_slow_load_are_bridged (void)
+{
+  struct memory_store store;
+  struct agent a;
+  g_autofree char *address = NULL;
+  struct hk_coord *c;
+  int txns;
+
+  memory_store_init (&store);
+  c = leader_start (&store, &a);
+  hk_coord_free (c);
+  store.defer_reads = TRUE;
+  txns = store.txns;
+  c = coord_start (&store, "e2", &address);
+  while (store.txns == txns)
+    {
+      test_run_for (5);
+      memory_store_answer_read (&store);
+    }
+  test_run_for (1200);
+  store.delay_writes = 100000;
+  while (!hk_coord_leading (c))
+    {
+      memory_store_answer_read (&store);
+      test_run_for (1);
+    }
+  store.defer_reads = FALSE;
+  agent_reconnect (&a, address);
+  report (&a);
+  report (&a);
+  g_assert_cmpuint (a.grant_ms, >, 0);
+  agent_finish (&a);
+  hk_coord_free (c);
+  memory_store_finish (&store);
+}
+
 /* Clocks may differ by two percent, in either direction. */
 static void
 times_that_others_measured_include_their_skew (void)
@@ -185,6 +262,8 @@
   ADD (chains_of_takeovers_do_not_restart_the_wait);
   ADD (grants_after_a_silence_are_waited_for);
   ADD (runs_that_were_never_ordered_are_placed_elsewhere);
+  ADD (outages_after_a_short_silence_are_bridged);
+  ADD (outages_after_a_slow_load_are_bridged);
   ADD (times_that_others_measured_include_their_skew);
   return g_test_run ();
 }
