Let no agent go that is listed as silent

Found by review: an agent that leaves extends its leases when a leader answers it. The coordinator answered also one that the store lists as silent, so a successor could count from the older list and start tasks up to 1.6 s (by arithmetic) before those leases end: two runs of one task.

--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -107,9 +107,10 @@
   int64_t orphan_stop_ms;        /* last stop orders for @orphans */
   int64_t interference_sent_ms;
   struct hk_timer park_timer;
-  GArray *ends;       /* of coord_end, from the last report */
-  GArray *orphans;    /* of hk_run_id, reported but not placed there */
-  gboolean described; /* the agent knows the capacity of its endpoint */
+  GArray *ends;         /* of coord_end, from the last report */
+  GArray *orphans;      /* of hk_run_id, reported but not placed there */
+  gboolean final_lease; /* an answer lets the agent extend its leases, once */
+  gboolean described;   /* the agent knows the capacity of its endpoint */
   /* Runs of the last report whose size its agent does not know; it starts
      nothing meanwhile. */
   unsigned n_unknown_runs;
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -392,6 +392,7 @@
   coord_link_reply (l, TRUE);
   l->parked = req;
   l->received_ms = now;
+  l->final_lease = args->final_lease_ms > 0;
   if (args->endpoint_started_ms != in->start_time_ms)
     {
       in->start_time_ms = args->endpoint_started_ms;
--- a/src/coord/coord_sync_reply.c
+++ b/src/coord/coord_sync_reply.c
@@ -134,6 +134,20 @@
   return awaiting;
 }
 
+/* Sends the agent away for now; it tries again. An agent that leaves would
+   take any other answer for leave to extend its leases, which the list in the
+   store does not allow for. */
+static void
+link_refuse (struct coord_link *l)
+{
+  struct hk_rpc_request *req = l->parked;
+  hk_sync_reply refusal = { .term = l->c->term };
+
+  l->parked = NULL;
+  hk_timer_clear (&l->park_timer);
+  hk_rpc_reply (req, &refusal);
+}
+
 /* Sends the parked reply if it has orders or acknowledgements, or in any case
    with @force. */
 void
@@ -152,6 +166,12 @@
 
   if (!req || (!force && l->settled_changes == l->in->changes))
     return;
+  if (l->in->listed_silent && l->final_lease)
+    {
+      if (force)
+        link_refuse (l);
+      return;
+    }
   starts = g_array_new (FALSE, TRUE, sizeof (hk_start_order));
   stops = g_array_new (FALSE, TRUE, sizeof (hk_run_id));
   acknowledged = g_array_new (FALSE, TRUE, sizeof (hk_run_id));
--- a/tests/coord/coord_support.c
+++ b/tests/coord/coord_support.c
@@ -127,6 +127,8 @@
                         .endpoint_started_ms = a->endpoint_started_ms,
                         .described = TRUE,
                         .draining = a->draining,
+                        .leaving = a->final_lease_ms > 0,
+                        .final_lease_ms = a->final_lease_ms,
                         .drain_left_ms = a->draining ? 60000 : 0,
                         .pool = (char *)"pool",
                         .cpu_milli = 4000,
--- a/tests/coord/coord_support.h
+++ b/tests/coord/coord_support.h
@@ -16,6 +16,7 @@
  * @n_ends: number of @ends.
  * @endpoint_started_ms: start time of its endpoint in its reports.
  * @draining: whether its reports say that its endpoint drains.
+ * @final_lease_ms: if not 0, its reports say that it leaves, with this lease.
  * @n_replies: replies to the last report, 0 or 1.
  * @leading: whether the last reply came from the leader.
  * @term: term in the last reply.
@@ -35,6 +36,7 @@
   unsigned n_ends;
   int64_t endpoint_started_ms;
   gboolean draining;
+  unsigned final_lease_ms;
   int n_replies;
   gboolean leading;
   uint64_t term;
--- a/tests/coord/test_silent_agents.c
+++ b/tests/coord/test_silent_agents.c
@@ -182,6 +182,34 @@
   return c;
 }
 
+/* Guards against two runs of a task: the answer to an agent that leaves lets
+   it extend its leases beyond what the list of silent agents says. */
+static void
+listed_agents_are_not_let_go (void)
+{
+  struct memory_store store;
+  struct agent a;
+  g_autofree char *address = NULL;
+  struct hk_coord *c;
+
+  memory_store_init (&store);
+  c = leader_start (&store, &a);
+  hk_coord_free (c);
+  c = coord_start (&store, "e2", &address);
+  test_run_until (is_leading, c);
+  test_run_for (1200);
+  store.delay_writes = 1000;
+  agent_reconnect (&a, address);
+  a.final_lease_ms = 6200;
+  report (&a);
+  g_assert_false (a.leading);
+  store.delay_writes = 0;
+  test_run_until (has_grant, &a);
+  agent_finish (&a);
+  hk_coord_free (c);
+  memory_store_finish (&store);
+}
+
 /* Guards against leases that end in an outage of the store which their leader
    could bridge: an agent that had been silent for a moment got no grants. */
 static void
@@ -262,6 +290,7 @@
   ADD (chains_of_takeovers_do_not_restart_the_wait);
   ADD (grants_after_a_silence_are_waited_for);
   ADD (runs_that_were_never_ordered_are_placed_elsewhere);
+  ADD (listed_agents_are_not_let_go);
   ADD (outages_after_a_short_silence_are_bridged);
   ADD (outages_after_a_slow_load_are_bridged);
   ADD (times_that_others_measured_include_their_skew);
