Let no agent go while the authority of its leader ends

Found by review, older than the list of silent agents: a leader without a store answered an agent that left in the last 1.5 s of its authority, which then extended its leases by up to 6.2 s, to 18.2 s after the last commit. A successor waits for 16.65 s, so a task could run twice.

Such a report is answered only while a full lease grant could be given; then its leases end at most 15.7 s after the last commit. /silent_agents/agents_are_not_let_go_as_authority_ends failed before, passes.

--- a/src/coord/coord_sync_reply.c
+++ b/src/coord/coord_sync_reply.c
@@ -135,8 +135,8 @@
 }
 
 /* Sends the agent away for now; it tries again. An agent that leaves would
-   take any other answer for leave to extend its leases, which the list in the
-   store does not allow for. */
+   take any other answer for leave to extend its leases, for which a successor
+   waits only if a full lease grant could be given. */
 static void
 link_refuse (struct coord_link *l)
 {
@@ -166,7 +166,10 @@
 
   if (!req || (!force && l->settled_changes == l->in->changes))
     return;
-  if (l->in->listed_silent && l->final_lease)
+  until
+      = hk_authority_grant_until (&c->authority, now, c->commit.confirmed_ms);
+  if (l->final_lease
+      && (l->in->listed_silent || until < now + c->authority.grant_ms))
     {
       if (force)
         link_refuse (l);
@@ -189,8 +192,6 @@
     return;
   /* Agents then look for a successor, which perhaps only they can reach. */
   reply.leadership_unconfirmed = coord_store_failing (c, now);
-  until
-      = hk_authority_grant_until (&c->authority, now, c->commit.confirmed_ms);
   if (until > l->received_ms && !l->in->listed_silent)
     {
       reply.grant_ms = (u_int)(until - l->received_ms);
--- a/tests/coord/test_silent_agents.c
+++ b/tests/coord/test_silent_agents.c
@@ -210,6 +210,37 @@
   memory_store_finish (&store);
 }
 
+/* Guards against the same where the authority of a leader ends: a successor
+   waits for its last grant and a lease. */
+static void
+agents_are_not_let_go_as_authority_ends (void)
+{
+  struct hk_coord_options options = HK_COORD_OPTIONS_INIT;
+  struct memory_store store;
+  struct agent a;
+  g_autofree char *address = NULL;
+  struct hk_coord *c;
+
+  options.authority = (struct hk_authority){ .own_ms = 1500,
+                                             .grant_ms = 1000,
+                                             .hold_ms = 1000 };
+  memory_store_init (&store);
+  c = coord_start_with (&store.base, options, "e1", &address);
+  test_run_until (is_leading, c);
+  agent_init (&a, "a1", address);
+  report (&a);
+  store.delay_writes = 1000;
+  test_run_for (800);
+  report (&a);
+  g_assert_cmpuint (a.grant_ms, >, 0);
+  a.final_lease_ms = 1700;
+  report (&a);
+  g_assert_false (a.leading);
+  agent_finish (&a);
+  hk_coord_free (c);
+  memory_store_finish (&store);
+}
+
 /* Guards against leases that end in an outage of the store which their leader
    could bridge: an agent that had been silent for a moment got no grants. */
 static void
@@ -291,6 +322,7 @@
   ADD (grants_after_a_silence_are_waited_for);
   ADD (runs_that_were_never_ordered_are_placed_elsewhere);
   ADD (listed_agents_are_not_let_go);
+  ADD (agents_are_not_let_go_as_authority_ends);
   ADD (outages_after_a_short_silence_are_bridged);
   ADD (outages_after_a_slow_load_are_bridged);
   ADD (times_that_others_measured_include_their_skew);
