--- a/tests/soak/chain.h
+++ b/tests/soak/chain.h
@@ -9,7 +9,7 @@
 /**
  * struct soak_chain - a leader killed again and again while agents are silent.
  * @interval_ms: time between kills; 0 for no chain.
- * @next_kill_ms: time of the next kill.
+ * @next_kill_ms: time of the next kill; 0 before the chain begins.
  * @next_silence_ms: when the next agents fall silent.
  * @events: kills and silences so far; their number determines the choices.
  */
@@ -21,6 +21,9 @@
   unsigned events;
 };
 
+/** soak_chain_start() - begin to kill leaders and silence agents. */
+void soak_chain_start (struct soak *s);
+
 /** soak_chain_run_due() - kill the leader and silence agents where it is due.
  */
 void soak_chain_run_due (struct soak *s);
