--- a/tests/coord/test_passed_over.c
+++ b/tests/coord/test_passed_over.c
@@ -4,9 +4,9 @@
 
 #include "../../src/coord/coord.h"
 
+#define INSTANCES 5
+/* The others are silent in the cases with a cut. */
 #define REACHABLE 3
-#define SILENT 2
-#define INSTANCES (REACHABLE + SILENT)
 #define INSTANCE_CPU_MILLI 64000
 /* CPUs that services declare on an instance. Beside the larger ones there is
    room for two tasks of the job. */
@@ -26,6 +26,7 @@
 {
   struct hk_coord *c;
   struct hk_instance *instances[INSTANCES]; /* the reachable ones first */
+  unsigned n_reachable;
   struct hk_engine_job *job;
   int64_t now;
 };
@@ -87,31 +88,30 @@
 }
 
 static void
-fixture_init (struct fixture *f, unsigned reachable_milli,
-              unsigned silent_milli)
+fixture_init (struct fixture *f, unsigned n_reachable,
+              unsigned reachable_milli, unsigned silent_milli)
 {
   struct hk_coord_options options = HK_COORD_OPTIONS_INIT;
-  struct hk_engine_job *services[2];
+  struct hk_engine_job *services;
 
   options.name = "e1";
   options.address = "127.0.0.1:1";
-  *f = (struct fixture){ .c = hk_coord_new (NULL, &options), .now = 100000 };
-  services[0] = submit (
-      f, "1111111111111111",
-      step_of ("service", REACHABLE, reachable_milli, HK_STEP_SERVICE));
-  services[1]
-      = submit (f, "2222222222222222",
-                step_of ("service", SILENT, silent_milli, HK_STEP_SERVICE));
+  *f = (struct fixture){ .c = hk_coord_new (NULL, &options),
+                         .n_reachable = n_reachable,
+                         .now = 100000 };
   for (unsigned i = 0; i < INSTANCES; i++)
     {
       g_autofree char *name = g_strdup_printf ("a%u", i);
-      gboolean silent = i >= REACHABLE;
+      g_autofree char *id = g_strdup_printf ("%016x", i + 1);
+      gboolean silent = i >= n_reachable;
 
       f->instances[i] = instance_new (f->c, name);
-      run_service (
-          f, &services[silent]->steps[0].tasks[silent ? i - REACHABLE : i],
-          f->instances[i]);
       f->instances[i]->last_report_ms = silent ? f->now - 5000 : f->now;
+      services = submit (f, id,
+                         step_of ("service", 1,
+                                  silent ? silent_milli : reachable_milli,
+                                  HK_STEP_SERVICE));
+      run_service (f, &services->steps[0].tasks[0], f->instances[i]);
     }
   f->job = submit (f, "3333333333333333",
                    step_of ("batch", BEST_EFFORT_TASKS, TASK_CPU_MILLI,
@@ -136,7 +136,7 @@
 pass (struct fixture *f)
 {
   f->now += PASS_INTERVAL_MS;
-  for (unsigned i = 0; i < REACHABLE; i++)
+  for (unsigned i = 0; i < f->n_reachable; i++)
     f->instances[i]->last_report_ms = f->now;
   coord_schedule (f->c, f->now);
 }
@@ -147,7 +147,7 @@
   const struct hk_run *run;
   unsigned n = 0;
 
-  for (unsigned i = 0; i < REACHABLE; i++)
+  for (unsigned i = 0; i < f->n_reachable; i++)
     {
       LIST_FOREACH (run, &f->instances[i]->runs, link)
       n += run->task->step->job == job;
@@ -176,7 +176,7 @@
 {
   struct fixture f;
 
-  fixture_init (&f, LIGHT_CPU_MILLI, LIGHT_CPU_MILLI);
+  fixture_init (&f, REACHABLE, LIGHT_CPU_MILLI, LIGHT_CPU_MILLI);
   g_assert_cmpint (time_until_placed (&f, SHARE_WAIT_MAX_MS), >, 0);
   fixture_finish (&f);
 }
@@ -188,7 +188,7 @@
 {
   struct fixture f;
 
-  fixture_init (&f, LOADED_CPU_MILLI, LOADED_CPU_MILLI);
+  fixture_init (&f, INSTANCES, LOADED_CPU_MILLI, LOADED_CPU_MILLI);
   g_assert_cmpint (time_until_placed (&f, 900), ==, -1);
   g_assert_cmpint (time_until_placed (&f, WAIT_MAX_MS - 900), >, 0);
   fixture_finish (&f);
@@ -201,7 +201,7 @@
 {
   struct fixture f;
 
-  fixture_init (&f, LOADED_CPU_MILLI, LOADED_CPU_MILLI);
+  fixture_init (&f, REACHABLE, LOADED_CPU_MILLI, LOADED_CPU_MILLI);
   hk_engine_task_place (&f.job->steps[0].tasks[0], f.instances[REACHABLE],
                         f.now);
   g_assert_cmpint (time_until_placed (&f, WAIT_MAX_MS), >, 0);
@@ -209,11 +209,11 @@
 }
 
 static void
-shares_count_only_instances_in_touch (void)
+shares_count_only_runs_in_touch (void)
 {
   struct fixture f;
 
-  fixture_init (&f, LIGHT_CPU_MILLI, INSTANCE_CPU_MILLI);
+  fixture_init (&f, REACHABLE, LIGHT_CPU_MILLI, INSTANCE_CPU_MILLI);
   g_assert_cmpint (time_until_placed (&f, SHARE_WAIT_MAX_MS), >, 0);
   fixture_finish (&f);
 }
@@ -226,7 +226,7 @@
   struct fixture f;
   int64_t began_ms;
 
-  fixture_init (&f, LIGHT_CPU_MILLI, LIGHT_CPU_MILLI);
+  fixture_init (&f, REACHABLE, LIGHT_CPU_MILLI, LIGHT_CPU_MILLI);
   for (began_ms = f.now; f.now - began_ms < WAIT_MAX_MS;)
     {
       f.job->steps[0].tasks[0].ready_ms = f.now;
@@ -243,7 +243,7 @@
   struct fixture f;
   int64_t began_ms;
 
-  fixture_init (&f, LOADED_CPU_MILLI, LOADED_CPU_MILLI);
+  fixture_init (&f, INSTANCES, LOADED_CPU_MILLI, LOADED_CPU_MILLI);
   for (began_ms = f.now; f.now - began_ms < 3 * WAIT_MAX_MS;)
     pass (&f);
   g_assert_cmpuint (count_reachable_runs (&f, f.job), ==, 1);
@@ -260,8 +260,8 @@
                    room_is_withheld_for_a_bounded_time);
   g_test_add_func ("/passed_over/silent_runs_do_not_count_as_running",
                    silent_runs_do_not_count_as_running);
-  g_test_add_func ("/passed_over/shares_count_only_instances_in_touch",
-                   shares_count_only_instances_in_touch);
+  g_test_add_func ("/passed_over/shares_count_only_runs_in_touch",
+                   shares_count_only_runs_in_touch);
   g_test_add_func (
       "/passed_over/restarted_tasks_do_not_renew_the_wait_of_others",
       restarted_tasks_do_not_renew_the_wait_of_others);
