Bound the wait of best-effort jobs with nothing running

Such a job was placed at any speed only if it had no run at all, a single task of it had been ready for 0.9 s, and under 55 % of all CPUs were allocated. Runs behind a cut made the first false and the last too large until their leases had ended, 7.2 s later, and a task that became ready again and again came first in the step and hid those that waited.

Only runs on instances whose agents report count now, for the job and for the CPUs in use; the capacity of silent instances still counts, as the rule speaks of the service's capacity. The wait is that of the step. A job of which nothing has run for 2 s is placed where less than 70 % of the CPUs are in use, which leaves a second for commit and start and a margin over the half at which the rule ends. One run in touch ends the exemption, so the others of the job wait for headroom as before.

Above 70 % there is still no bound.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -186,6 +186,8 @@
  * @ended_wall_ms: the same as time of day, milliseconds since 1970.
  * @n_tasks: tasks of all steps.
  * @n_runs: runs whose end has not been seen.
+ * @ran_ms: last time at which one was seen to run; 0 if never, owned by the
+ *          coordinator.
  * @n_watched: those that are watched.
  * @steps: one for each step of @spec.
  * @run_time_ratio_sum: sum of measured over declared run time, of
@@ -221,6 +223,7 @@
   int64_t ended_wall_ms;
   unsigned n_tasks;
   unsigned n_runs;
+  int64_t ran_ms;
   unsigned n_watched;
   unsigned n_checkpoints_left_out;
   gboolean records_too_big;
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -230,7 +230,7 @@
   unsigned n_steps;      /* best-effort steps tried */
   unsigned n_placed;     /* tasks placed */
   gboolean exhausted;    /* best-effort steps were left to the next pass */
-  double used_cpu_milli; /* of all instances, without best-effort runs */
+  double used_cpu_milli; /* of those in touch, without best-effort runs */
   double cpu_milli;      /* of all instances */
   struct hk_pass_failures failures;
   struct hk_job_place_need need;
@@ -321,6 +321,9 @@
                           struct hk_instance *in);
 gboolean coord_place_speculative (struct hk_coord *c,
                                   struct hk_engine_task *task, int64_t now);
+/* Whether a run of the job is on an instance whose agent reports. */
+gboolean coord_job_runs_in_touch (const struct hk_engine_job *job,
+                                  int64_t now);
 /* Whether an instance is in service for the tasks of a step. */
 gboolean coord_accepts_runs (const struct hk_instance *in,
                              const struct hk_engine_step *step, int64_t now);
--- a/src/coord/coord_candidates.c
+++ b/src/coord/coord_candidates.c
@@ -9,12 +9,16 @@
 
 /* An instance whose last report is older than this gets no new runs. */
 #define REPORT_AGE_MAX_MS 900
-/* A task that has been ready for this long, of a job without any run, counts
-   as starving and is placed however slow it will be, while less than
-   STARVING_CPU_SHARE_MAX of all CPUs are allocated to tasks that are not
-   best-effort. */
+/* A task that has been ready for this long, of a job with nothing running,
+   counts as starving and is placed however slow it will be, while less than
+   STARVING_CPU_SHARE_MAX of all CPUs are known to be in use by tasks that are
+   not best-effort. */
 #define STARVING_AFTER_MS 900
 #define STARVING_CPU_SHARE_MAX 0.55
+/* Once nothing of the job has run for IDLE_MAX_MS, the limit is
+   IDLE_CPU_SHARE_MAX. The commit and the start follow within a second. */
+#define IDLE_MAX_MS 2000
+#define IDLE_CPU_SHARE_MAX 0.7
 /* A best-effort task is moved only to an instance that allows it at least this
    share of its full speed. */
 #define MOVE_SPEED_SHARE_MIN 0.85
@@ -69,13 +73,19 @@
   return FALSE;
 }
 
+static gboolean
+is_in_touch (const struct hk_instance *in, int64_t now)
+{
+  return in->link && now - in->last_report_ms < REPORT_AGE_MAX_MS;
+}
+
 enum coord_wait_reason
 coord_instance_obstacle (const struct hk_instance *in,
                          const struct hk_engine_step *step, int64_t now)
 {
   const struct coord_link *l = in->link;
 
-  if (!l || now - in->last_report_ms >= REPORT_AGE_MAX_MS)
+  if (!is_in_touch (in, now))
     return COORD_WAIT_SILENT;
   if (!in->capacity_known || !l->described || l->n_unknown_runs > 0)
     return COORD_WAIT_UNKNOWN;
@@ -210,17 +220,67 @@
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
   if (in->capacity_known)
     {
-      p->used_cpu_milli += in->used_cpu_milli;
       p->cpu_milli += in->cpu_milli;
+      if (is_in_touch (in, now))
+        p->used_cpu_milli += in->used_cpu_milli;
     }
 }
 
+static gboolean
+step_runs_in_touch (const struct hk_engine_step *step, int64_t now)
+{
+  unsigned n_placed = step->spec->count - step->waiting - step->done;
+
+  for (unsigned t = 0; t < step->spec->count && n_placed > 0; t++)
+    {
+      const struct hk_engine_task *task = &step->tasks[t];
+
+      n_placed -= task->state == HK_TASK_PLACED;
+      for (int i = 0; i < HK_RUNS_PER_TASK; i++)
+        if (task->runs[i] && is_in_touch (task->runs[i]->instance, now))
+          return TRUE;
+    }
+  return FALSE;
+}
+
+/* Nobody knows whether runs on silent instances still run. */
+gboolean
+coord_job_runs_in_touch (const struct hk_engine_job *job, int64_t now)
+{
+  for (unsigned i = 0; job->n_runs > 0 && i < job->spec.steps.steps_len; i++)
+    if (step_runs_in_touch (&job->steps[i], now))
+      return TRUE;
+  return FALSE;
+}
+
+/* The wait of the step, not of the task: one that has just become ready does
+   not hide those that wait. */
+static int64_t
+waiting_since_ms (const struct hk_engine_step *step)
+{
+  int64_t since_ms = INT64_MAX;
+
+  for (unsigned t = 0; t < step->spec->count; t++)
+    if (step->tasks[t].state == HK_TASK_WAITING)
+      since_ms = MIN (since_ms, step->tasks[t].ready_ms);
+  return since_ms;
+}
+
 static gboolean
 is_starving (const struct coord_pass *p, const struct hk_engine_task *task)
 {
-  return task->step->job->n_runs == 0
-         && p->now - task->ready_ms >= STARVING_AFTER_MS
-         && p->used_cpu_milli < STARVING_CPU_SHARE_MAX * p->cpu_milli;
+  const struct hk_engine_job *job = task->step->job;
+  double share = p->used_cpu_milli / MAX (p->cpu_milli, 1);
+  int64_t since_ms;
+
+  if (!p->need.best_effort || share >= IDLE_CPU_SHARE_MAX
+      || coord_job_runs_in_touch (job, p->now))
+    return FALSE;
+  since_ms = waiting_since_ms (task->step);
+  if (p->now - MAX (since_ms, job->ran_ms) >= IDLE_MAX_MS)
+    return TRUE;
+  return p->now - since_ms >= STARVING_AFTER_MS
+         && share < STARVING_CPU_SHARE_MAX;
 }
 
 /* Candidates are taken in turn if there are more than a pass may look at. */
--- a/src/coord/coord_schedule.c
+++ b/src/coord/coord_schedule.c
@@ -186,6 +186,8 @@
     cand.best_effort = (job->steps[0].spec->flags & HK_STEP_BEST_EFFORT) != 0;
     if (!cand.waiting && !cand.best_effort)
       continue;
+    if (coord_job_runs_in_touch (job, now))
+      job->ran_ms = now;
     if (cand.best_effort)
       n_waiting += waiting;
     coord_order_update (c, job, now);
