--- a/tests/support/memory_runtime.c
+++ b/tests/support/memory_runtime.c
@@ -1,5 +1,5 @@
 /* In-process fake of an endpoint that replies from the main loop. Injects lost
-   replies, delayed starts, stale lists, failures, crashes and restarts. */
+   replies, delayed calls, stale lists, failures, crashes and restarts. */
 #include "memory_runtime.h"
 
 #include <string.h>
@@ -21,6 +21,7 @@
                                     the stop */
   hk_end_how how;
   uint64_t seq;
+  unsigned speed_percent;
 };
 
 struct pending_reply
@@ -40,6 +41,14 @@
   uint64_t fence;
 };
 
+struct delayed_throttle
+{
+  hk_task_id task;
+  unsigned number;
+  unsigned percent;
+  uint64_t fence;
+};
+
 static gboolean
 same_task (const hk_task_id *a, const hk_task_id *b)
 {
@@ -184,6 +193,7 @@
   run->task.job = g_strdup (task->job);
   run->number = number;
   run->end_at_ms = hk_clock_ms () + rt->work_ms;
+  run->speed_percent = 100;
   if (rt->fail_next > 0)
     {
       rt->fail_next--;
@@ -295,16 +305,61 @@
   schedule_reply (rt, HK_OK, TRUE, done, user);
 }
 
+static int
+throttle_run (struct memory_runtime *rt, const hk_task_id *task,
+              unsigned number, unsigned percent, uint64_t fence)
+{
+  if (fence < rt->fence)
+    return HK_ERR_CONFLICT;
+  rt->fence = fence;
+  for (guint i = 0; i < rt->runs->len; i++)
+    {
+      struct run *run = rt->runs->pdata[i];
+
+      if (same_task (&run->task, task) && run->number == number)
+        run->speed_percent = percent;
+    }
+  return HK_OK;
+}
+
 static void
-runtime_pace (struct hk_runtime *base, const hk_task_id *task, unsigned number,
-              unsigned percent, uint64_t fence, hk_runtime_done done,
-              void *user)
+delay_throttle (struct memory_runtime *rt, const hk_task_id *task,
+                unsigned number, unsigned percent, uint64_t fence)
 {
-  (void)task;
-  (void)number;
-  (void)percent;
-  (void)fence;
-  schedule_reply ((struct memory_runtime *)base, HK_OK, FALSE, done, user);
+  struct delayed_throttle *call = g_new0 (struct delayed_throttle, 1);
+
+  call->task = *task;
+  call->task.job = g_strdup (task->job);
+  call->number = number;
+  call->percent = percent;
+  call->fence = fence;
+  g_ptr_array_add (rt->delayed_throttles, call);
+}
+
+static void
+runtime_throttle (struct hk_runtime *base, const hk_task_id *task,
+                  unsigned number, unsigned percent, uint64_t fence,
+                  hk_runtime_done done, void *user)
+{
+  struct memory_runtime *rt = (struct memory_runtime *)base;
+  int rc = HK_ERR_TIMEOUT;
+
+  rt->n_throttle_calls++;
+  if (rt->delay_throttles > 0)
+    {
+      rt->delay_throttles--;
+      delay_throttle (rt, task, number, percent, fence);
+    }
+  else if (misaddressed (rt))
+    rc = HK_ERR_NOT_FOUND;
+  else if (!rt->unreachable && !rt->silent)
+    rc = throttle_run (rt, task, number, percent, fence);
+  if (rt->drop_throttle_replies > 0 && rc == HK_OK)
+    {
+      rt->drop_throttle_replies--;
+      rc = HK_ERR_TIMEOUT;
+    }
+  schedule_reply (rt, rc, FALSE, done, user);
 }
 
 static void
@@ -330,7 +385,7 @@
 static const struct hk_runtime_ops ops = { .start = runtime_start,
                                            .stop = runtime_stop,
                                            .renew = runtime_hold,
-                                           .throttle = runtime_pace,
+                                           .throttle = runtime_throttle,
                                            .identify = runtime_identify,
                                            .address = runtime_address };
 
@@ -352,6 +407,15 @@
   g_free (start);
 }
 
+static void
+free_delayed_throttle (gpointer data)
+{
+  struct delayed_throttle *call = data;
+
+  g_free (call->task.job);
+  g_free (call);
+}
+
 void
 memory_runtime_init (struct memory_runtime *rt)
 {
@@ -363,6 +427,8 @@
   rt->next_seq = 1;
   rt->runs = g_ptr_array_new_with_free_func (free_run);
   rt->delayed = g_ptr_array_new_with_free_func (free_delayed);
+  rt->delayed_throttles
+      = g_ptr_array_new_with_free_func (free_delayed_throttle);
 }
 
 void
@@ -370,6 +436,7 @@
 {
   g_ptr_array_unref (rt->runs);
   g_ptr_array_unref (rt->delayed);
+  g_ptr_array_unref (rt->delayed_throttles);
   g_free (rt->addressed);
 }
 
@@ -386,6 +453,13 @@
         rt->n_refused++;
     }
   g_ptr_array_set_size (rt->delayed, 0);
+  for (guint i = 0; i < rt->delayed_throttles->len; i++)
+    {
+      struct delayed_throttle *call = rt->delayed_throttles->pdata[i];
+
+      throttle_run (rt, &call->task, call->number, call->percent, call->fence);
+    }
+  g_ptr_array_set_size (rt->delayed_throttles, 0);
 }
 
 void
@@ -427,3 +501,22 @@
       n++;
   return n;
 }
+
+void
+memory_runtime_set_speed (struct memory_runtime *rt, unsigned percent)
+{
+  for (guint i = 0; i < rt->runs->len; i++)
+    ((struct run *)rt->runs->pdata[i])->speed_percent = percent;
+}
+
+unsigned
+memory_runtime_least_speed (struct memory_runtime *rt)
+{
+  unsigned least = 100;
+
+  update_runs (rt);
+  for (guint i = 0; i < rt->runs->len; i++)
+    if (!((struct run *)rt->runs->pdata[i])->ended)
+      least = MIN (least, ((struct run *)rt->runs->pdata[i])->speed_percent);
+  return least;
+}
--- a/tests/support/memory_runtime.h
+++ b/tests/support/memory_runtime.h
@@ -17,6 +17,10 @@
  *                memory_runtime_apply_delayed().
  * @delayed_ignore_fence: delayed starts are carried out whatever the fence
  * says, as if the endpoint had checked it when they came.
+ * @drop_throttle_replies: number of next throttle calls that take effect but
+ *                         time out.
+ * @delay_throttles: number of next throttle calls that time out and take
+ *                   effect only in memory_runtime_apply_delayed().
  * @stale_lists: number of next lists without running tasks, as if made before
  *               these started and overtaken by the replies to the starts.
  * @unreachable: every call fails as if no process listened.
@@ -27,6 +31,7 @@
  * @checkpoint_bytes: length of the checkpoints that its runs make; 0: none.
  * @resumed_bytes: longest checkpoint that a start carried.
  * @n_start_calls: starts received.
+ * @n_throttle_calls: throttle calls received.
  * @n_started: runs that started.
  * @n_excess_starts: runs that started beyond @capacity.
  * @max_concurrent_runs: most runs of one task that ran at the same time.
@@ -38,6 +43,7 @@
  * @lease_end_ms: end of the leases of all runs.
  * @runs: running and ended runs.
  * @delayed: starts that wait for memory_runtime_apply_delayed().
+ * @delayed_throttles: throttle calls that wait for it.
  */
 struct memory_runtime
 {
@@ -50,6 +56,8 @@
   int drop_start_replies;
   int delay_starts;
   gboolean delayed_ignore_fence;
+  int drop_throttle_replies;
+  int delay_throttles;
   int stale_lists;
   gboolean unreachable;
   gboolean silent;
@@ -59,6 +67,7 @@
   size_t checkpoint_bytes;
   size_t resumed_bytes;
   int n_start_calls;
+  int n_throttle_calls;
   int n_started;
   int n_excess_starts;
   int max_concurrent_runs;
@@ -70,6 +79,7 @@
   int64_t lease_end_ms;
   GPtrArray *runs;
   GPtrArray *delayed;
+  GPtrArray *delayed_throttles;
 };
 
 /** memory_runtime_init() - endpoint without runs. */
@@ -78,7 +88,7 @@
 /** memory_runtime_finish() - release. */
 void memory_runtime_finish (struct memory_runtime *rt);
 
-/** memory_runtime_apply_delayed() - carry out the delayed starts now. */
+/** memory_runtime_apply_delayed() - carry out the delayed calls now. */
 void memory_runtime_apply_delayed (struct memory_runtime *rt);
 
 /** memory_runtime_restart() - crash and restart as a new incarnation. */
@@ -90,4 +100,12 @@
 /** memory_runtime_n_running() - number of running tasks. */
 int memory_runtime_n_running (struct memory_runtime *rt);
 
+/** memory_runtime_set_speed() - set the speed of all runs, percent of full
+ * speed. */
+void memory_runtime_set_speed (struct memory_runtime *rt, unsigned percent);
+
+/** memory_runtime_least_speed() - speed of the slowest running task, percent
+ * of full speed; 100 without one. */
+unsigned memory_runtime_least_speed (struct memory_runtime *rt);
+
 #endif
