Show a run that a late throttle call leaves at speed 0

Measured: /throttle/calls_that_arrive_late_are_corrected fails, 0 where 100 is expected, 6 s simulated after the late call is carried out.

--- a/tests/runner/test_throttle.c
+++ b/tests/runner/test_throttle.c
@@ -136,6 +136,31 @@
   beside_finish (&b);
 }
 
+/* Guards against a run that stands still for good: a call without an answer
+   was carried out after the newer one that had been confirmed. */
+static void
+calls_that_arrive_late_are_corrected (void)
+{
+  struct beside b;
+  int calls;
+
+  beside_init (&b);
+  b.rt.delay_throttles = 1;
+  update (&b, TRUE);
+  update_for (&b, 5000);
+  g_assert_cmpuint (memory_runtime_least_speed (&b.rt), ==, 100);
+  memory_runtime_apply_delayed (&b.rt);
+  g_assert_cmpuint (memory_runtime_least_speed (&b.rt), ==, 0);
+  update_for (&b, 6000);
+  g_assert_cmpuint (memory_runtime_least_speed (&b.rt), ==, 100);
+  update_for (&b, 60000);
+  calls = b.rt.n_throttle_calls;
+  update_for (&b, 60000);
+  g_assert_cmpint (b.rt.n_throttle_calls, ==, calls);
+  g_assert_cmpint (calls, <=, 15);
+  beside_finish (&b);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -144,5 +169,6 @@
     hk_log_init ("info");
 #define ADD(name) g_test_add_func ("/throttle/" #name, name)
   ADD (unanswered_speeds_are_ordered_again);
+  ADD (calls_that_arrive_late_are_corrected);
   return g_test_run ();
 }
