Show runs that a restarted agent leaves at speed 0

Measured: /throttle/adopted_runs_are_ordered_their_speed fails, 0 where 100 is expected, 3 s after the successor started.

--- a/tests/runner/test_throttle.c
+++ b/tests/runner/test_throttle.c
@@ -161,6 +161,34 @@
   beside_finish (&b);
 }
 
+/* Guards against runs that stand still for good: their former agent had
+   stopped them, and its successor believed them at full speed. */
+static void
+adopted_runs_are_ordered_their_speed (void)
+{
+  struct hk_runner_options options = { .name = "a1",
+                                       .domain = "d",
+                                       .authority = { 12000, 1000, 600 },
+                                       .lease_max_ms = 6000 };
+  struct fixture f;
+
+  fixture_init (&f);
+  f.rt.work_ms = WORK_MS;
+  send_request_with_flags (&f, 0, HK_JOB_REQUEST_SUBMIT, HK_STEP_BEST_EFFORT);
+  test_run_until (two_running, &f.rt);
+  memory_runtime_set_speed (&f.rt, 0);
+  hk_runner_free (f.runner);
+  f.rt.n_throttle_calls = 0;
+  f.runner = hk_runner_new (&f.store.base, &f.rt.base, &options);
+  hk_runner_start (f.runner);
+  report_ready (&f);
+  test_run_for (3000);
+  g_assert_cmpint (memory_runtime_n_running (&f.rt), ==, 2);
+  g_assert_cmpuint (memory_runtime_least_speed (&f.rt), ==, 100);
+  g_assert_cmpint (f.rt.n_throttle_calls, ==, 2);
+  fixture_finish (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -170,5 +198,6 @@
 #define ADD(name) g_test_add_func ("/throttle/" #name, name)
   ADD (unanswered_speeds_are_ordered_again);
   ADD (calls_that_arrive_late_are_corrected);
+  ADD (adopted_runs_are_ordered_their_speed);
   return g_test_run ();
 }
