Order speeds again until the endpoint answers

Callers saw: accepted best-effort work stood still, though its instance and its agent were healthy.

Cause: the endpoint carried out a throttle call, the answer was lost, and the agent kept believing the speed of before. When that was wanted again, nothing seemed to change and no call followed.

Why this works: after a failure that may have had an effect the speed is unknown. It is ordered again whatever is wanted, 300 ms after the last call at the earliest, until a call is answered; meanwhile it counts as the lowest that it may be, for the throttle and in reports. Calls that had no effect (409, 421, 400, 429, 503, refused connections) leave a known speed known, and are repeated at the same rate instead of at each list.

--- a/src/runner/runner.h
+++ b/src/runner/runner.h
@@ -49,9 +49,13 @@
   unsigned percent;       /* progress */
   unsigned load_sample;   /* as hk_runtime_run */
   unsigned speed_percent; /* of full speed */
+  gboolean speed_unknown; /* a throttle call got no reply since the last one
+                             that did */
   unsigned speed_requested_percent;
   gboolean throttle_pending;
-  int64_t throttled_ms; /* time of the last change of speed */
+  gboolean throttle_failed; /* the last throttle call */
+  int64_t throttle_sent_ms; /* time of the last throttle call */
+  int64_t throttled_ms;     /* time of the last change of speed */
   char *checkpoint;
   gboolean checkpoint_rejected; /* one was over the limit; logged once */
   char *payload;
@@ -152,6 +156,7 @@
 void runner_report_finish (struct hk_runner *r);
 
 /* runner_run.c */
+gboolean runner_call_in_doubt (int rc);
 struct runner_run *runner_run_find (struct hk_runner *r,
                                     const hk_task_id *task, unsigned number);
 void runner_run_accept (struct hk_runner *r, const hk_start_order *order);
--- a/src/runner/runner_run.c
+++ b/src/runner/runner_run.c
@@ -18,6 +18,15 @@
 static void send_start (struct runner_run *run);
 static void send_stop (struct runner_run *run);
 
+/* Whether a call that failed may have been carried out, or may still be. */
+gboolean
+runner_call_in_doubt (int rc)
+{
+  return rc != HK_ERR_CONFLICT && rc != HK_ERR_NOT_FOUND
+         && rc != HK_ERR_INVALID && rc != HK_ERR_FULL
+         && rc != HK_ERR_UNAVAILABLE;
+}
+
 static gboolean
 same_task (const hk_task_id *a, const hk_task_id *b)
 {
@@ -46,6 +55,7 @@
   run->task.job = g_strdup (task->job);
   run->number = number;
   run->speed_percent = 100;
+  run->speed_requested_percent = 100;
   run->checkpoint = g_strdup ("");
   run->image = g_strdup ("");
   TAILQ_INSERT_TAIL (&r->runs, run, link);
@@ -343,7 +353,7 @@
   retry = run->start_attempts < START_ATTEMPTS_MAX;
   if (rc == HK_ERR_CONFLICT || rc == HK_ERR_NOT_FOUND || rc == HK_ERR_INVALID)
     retry = FALSE;
-  else if (rc != HK_ERR_FULL && rc != HK_ERR_UNAVAILABLE)
+  if (runner_call_in_doubt (rc))
     run->start_in_doubt = TRUE;
   if (retry)
     hk_timer_set (&run->timer, START_RETRY_MS, on_start_timer, run);
--- a/src/runner/runner_throttle.c
+++ b/src/runner/runner_throttle.c
@@ -9,6 +9,23 @@
 /* Time until the samples show a change: the delay of the call plus a sampling
    window of half a second. */
 #define THROTTLE_SETTLE_MS 600
+/* Least time between a call that failed and the next one. */
+#define THROTTLE_RETRY_MS 300
+
+/* Until a call is answered, the speed counts as the lowest that the run may
+   have. */
+static void
+handle_failure (struct runner_run *run, int rc, const struct hk_error *err)
+{
+  run->throttle_failed = TRUE;
+  hk_log (HK_LOG_WARN, "runner", err->peer, run->task.job,
+          "event=throttle_failed percent=%u unknown=%d cause=\"%s\"",
+          run->speed_requested_percent, runner_call_in_doubt (rc), err->text);
+  if (!runner_call_in_doubt (rc))
+    return;
+  run->speed_unknown = TRUE;
+  run->speed_percent = MIN (run->speed_percent, run->speed_requested_percent);
+}
 
 static void
 on_throttled (int rc, const struct hk_runtime_list *list, int64_t clock_ms,
@@ -26,11 +43,16 @@
         runner_run_free (run);
       return;
     }
-  if (rc == HK_OK)
-    run->speed_percent = run->speed_requested_percent;
-  else
-    hk_log (HK_LOG_WARN, "runner", err->peer, run->task.job,
-            "event=throttle_failed cause=\"%s\"", err->text);
+  if (rc != HK_OK)
+    {
+      handle_failure (run, rc, err);
+      return;
+    }
+  if (run->speed_unknown)
+    run->throttled_ms = run->r->throttle_set_ms = run->throttle_sent_ms;
+  run->throttle_failed = FALSE;
+  run->speed_unknown = FALSE;
+  run->speed_percent = run->speed_requested_percent;
 }
 
 static gboolean
@@ -71,22 +93,39 @@
     }
 }
 
-static void
-throttle_run (struct hk_runner *r, struct runner_run *run, unsigned percent,
-              int64_t now)
+/* Whether to order the speed now. */
+static gboolean
+call_is_due (const struct runner_run *run, unsigned percent, int64_t now)
 {
   unsigned change = run->speed_percent > percent
                         ? run->speed_percent - percent
                         : percent - run->speed_percent;
 
-  if (run->throttle_pending || change == 0
-      || (change < THROTTLE_STEP_PERCENT && percent > 0 && percent < 100))
+  if (run->throttle_pending
+      || (run->throttle_failed
+          && now - run->throttle_sent_ms < THROTTLE_RETRY_MS))
+    return FALSE;
+  if (run->speed_unknown)
+    return TRUE;
+  return change >= THROTTLE_STEP_PERCENT
+         || (change > 0 && (percent == 0 || percent == 100));
+}
+
+static void
+throttle_run (struct hk_runner *r, struct runner_run *run, unsigned percent,
+              int64_t now)
+{
+  if (!call_is_due (run, percent, now))
     return;
   run->throttle_pending = TRUE;
   run->open_calls++;
+  run->throttle_sent_ms = now;
+  if (percent != run->speed_requested_percent)
+    {
+      run->throttled_ms = now;
+      r->throttle_set_ms = now;
+    }
   run->speed_requested_percent = percent;
-  run->throttled_ms = now;
-  r->throttle_set_ms = now;
   r->runtime->ops->throttle (r->runtime, &run->task, run->number, percent,
                              runner_fence (r), on_throttled, run);
 }
--- a/tests/runner/test_throttle.c
+++ b/tests/runner/test_throttle.c
@@ -136,6 +136,23 @@
   beside_finish (&b);
 }
 
+/* Lists come every few milliseconds while runs end. */
+static void
+unanswered_calls_are_repeated_at_a_bounded_rate (void)
+{
+  struct beside b;
+
+  beside_init (&b);
+  update (&b, TRUE);
+  b.rt.n_throttle_calls = 0;
+  b.rt.drop_throttle_replies = G_MAXINT;
+  for (int64_t end = b.now + 3000; b.now < end; b.now += 15 - LIST_INTERVAL_MS)
+    update (&b, FALSE);
+  g_assert_cmpint (b.rt.n_throttle_calls, >=, 3);
+  g_assert_cmpint (b.rt.n_throttle_calls, <=, 11);
+  beside_finish (&b);
+}
+
 /* Guards against a run that stands still for good: a call without an answer
    was carried out after the newer one that had been confirmed. */
 static void
@@ -197,6 +214,7 @@
     hk_log_init ("info");
 #define ADD(name) g_test_add_func ("/throttle/" #name, name)
   ADD (unanswered_speeds_are_ordered_again);
+  ADD (unanswered_calls_are_repeated_at_a_bounded_rate);
   ADD (calls_that_arrive_late_are_corrected);
   ADD (adopted_runs_are_ordered_their_speed);
   return g_test_run ();
