Confirm speeds until an unanswered call can't arrive

Callers saw: accepted best-effort work stood still, though its instance and its agent were healthy.

Cause: a call without an answer may be carried out seconds later, after a newer one that was confirmed, and the protocol numbers no throttle calls. The agent believed the newer speed for good.

Evidence: /throttle/calls_that_arrive_late_are_corrected failed before, 0 where 100 is expected 6 s simulated after the late call.

Why this works: the speed is ordered once more 1 s after the unanswered call was sent, then each time that its age has doubled, until a call sent more than 30 s after it is answered: the bound on late delivery that unanswered starts have. So a call that comes N s late (from 1 s on) has effect for N s at most, and each unanswered call costs six further ones. A raised fence would refuse the late call too, but also starts and stops in flight, so it isn't used here.

Measured: the test passes: at most 15 calls in 71 s simulated, none in the next 60 s.

--- a/src/runner/runner.h
+++ b/src/runner/runner.h
@@ -16,6 +16,8 @@
 
 /* Consecutive failed renewals after which the agent takes no new work. */
 #define RUNNER_RENEW_FAILURES_MAX 2
+/* A call is not delivered later than this after it was sent. */
+#define RUNNER_DELIVERY_MAX_MS 30000
 
 enum run_state
 {
@@ -53,9 +55,11 @@
                              that did */
   unsigned speed_requested_percent;
   gboolean throttle_pending;
-  gboolean throttle_failed; /* the last throttle call */
-  int64_t throttle_sent_ms; /* time of the last throttle call */
-  int64_t throttled_ms;     /* time of the last change of speed */
+  gboolean throttle_failed;     /* the last throttle call */
+  int64_t throttle_sent_ms;     /* time of the last throttle call */
+  int64_t throttle_in_doubt_ms; /* time of the last throttle call without a
+                                   reply, which may still arrive; 0: none */
+  int64_t throttled_ms;         /* time of the last change of speed */
   char *checkpoint;
   gboolean checkpoint_rejected; /* one was over the limit; logged once */
   char *payload;
--- a/src/runner/runner_throttle.c
+++ b/src/runner/runner_throttle.c
@@ -11,6 +11,10 @@
 #define THROTTLE_SETTLE_MS 600
 /* Least time between a call that failed and the next one. */
 #define THROTTLE_RETRY_MS 300
+/* A call without a reply may overtake the one that replaced it. The speed is
+   ordered again this long after the unanswered call, then each time that its
+   age has doubled. */
+#define THROTTLE_CONFIRM_MS 1000
 
 /* Until a call is answered, the speed counts as the lowest that the run may
    have. */
@@ -24,6 +28,7 @@
   if (!runner_call_in_doubt (rc))
     return;
   run->speed_unknown = TRUE;
+  run->throttle_in_doubt_ms = run->throttle_sent_ms;
   run->speed_percent = MIN (run->speed_percent, run->speed_requested_percent);
 }
 
@@ -50,6 +55,9 @@
     }
   if (run->speed_unknown)
     run->throttled_ms = run->r->throttle_set_ms = run->throttle_sent_ms;
+  if (run->throttle_sent_ms - run->throttle_in_doubt_ms
+      > RUNNER_DELIVERY_MAX_MS)
+    run->throttle_in_doubt_ms = 0;
   run->throttle_failed = FALSE;
   run->speed_unknown = FALSE;
   run->speed_percent = run->speed_requested_percent;
@@ -93,6 +101,18 @@
     }
 }
 
+/* Whether a call without a reply may have replaced the speed since it was last
+   confirmed. */
+static gboolean
+confirmation_is_due (const struct runner_run *run, int64_t now)
+{
+  int64_t age_ms = run->throttle_sent_ms - run->throttle_in_doubt_ms;
+
+  return run->throttle_in_doubt_ms
+         && now - run->throttle_in_doubt_ms
+                >= MAX (THROTTLE_CONFIRM_MS, 2 * age_ms);
+}
+
 /* Whether to order the speed now. */
 static gboolean
 call_is_due (const struct runner_run *run, unsigned percent, int64_t now)
@@ -105,7 +125,7 @@
       || (run->throttle_failed
           && now - run->throttle_sent_ms < THROTTLE_RETRY_MS))
     return FALSE;
-  if (run->speed_unknown)
+  if (run->speed_unknown || confirmation_is_due (run, now))
     return TRUE;
   return change >= THROTTLE_STEP_PERCENT
          || (change > 0 && (percent == 0 || percent == 100));
--- a/src/runner/runner_unanswered.c
+++ b/src/runner/runner_unanswered.c
@@ -3,9 +3,6 @@
    its end, so it is told to stop the run before it can start. */
 #include "runner.h"
 
-/* A call is not delivered later than this after it was sent. */
-#define DELIVERY_MAX_MS 30000
-
 struct runner_unanswered
 {
   hk_task_id task;
@@ -29,7 +26,7 @@
   struct runner_unanswered *u;
 
   while ((u = TAILQ_FIRST (&r->unanswered))
-         && now - u->sent_ms > DELIVERY_MAX_MS)
+         && now - u->sent_ms > RUNNER_DELIVERY_MAX_MS)
     unanswered_free (r, u);
 }
 
