Order the speed of runs that an agent finds

Callers saw: accepted best-effort work stood still for good after an agent had restarted, though the instance was healthy.

Cause: the endpoint keeps the speed that a former agent set, and its successor believed all runs that it found at full speed.

Evidence: /throttle/adopted_runs_are_ordered_their_speed failed before, 0 where 100 is expected 3 s after the successor started.

Why this works: the speed of such runs is unknown, so each best-effort one is ordered its wanted speed until that is answered, once the coordinator has said what it is. Unanswered calls of the former agent are refused by their fence, which each agent raises. Until the answer, reports say 100 as before.

Measured: the test passes, with one call for each of two runs in 3 s. ctest -R 'throttle|former|^runner$|unanswered$|incarnation|clock_step|capacity|^restart|sharing|unit': 22 of 22 pass.

--- a/src/runner/runner.h
+++ b/src/runner/runner.h
@@ -52,7 +52,7 @@
   unsigned load_sample;   /* as hk_runtime_run */
   unsigned speed_percent; /* of full speed */
   gboolean speed_unknown; /* a throttle call got no reply since the last one
-                             that did */
+                             that did, or a former agent set the speed */
   unsigned speed_requested_percent;
   gboolean throttle_pending;
   gboolean throttle_failed;     /* the last throttle call */
--- a/src/runner/runner_renew.c
+++ b/src/runner/runner_renew.c
@@ -97,6 +97,7 @@
       run->state = RUN_RUNNING;
       /* The former agent may have sent other attempts to start it. */
       run->start_in_doubt = TRUE;
+      run->speed_unknown = TRUE;
       runner_report_schedule (r);
     }
   if (run->state == RUN_ENDED && run->end_seq == 0 && run->how == HK_END_LOST)
