--- a/src/runner/runner.h
+++ b/src/runner/runner.h
@@ -16,6 +16,8 @@
 
 /* Consecutive failed renewals after which the agent takes no new work. */
 #define RUNNER_RENEW_FAILURES_MAX 2
+/* A call is not delivered later than this after it was sent. */
+#define RUNNER_DELIVERY_MAX_MS 30000
 
 enum run_state
 {
@@ -49,9 +51,15 @@
   unsigned percent;       /* progress */
   unsigned load_sample;   /* as hk_runtime_run */
   unsigned speed_percent; /* of full speed */
+  gboolean speed_unknown; /* a throttle call got no reply since the last one
+                             that did, or a former agent set the speed */
   unsigned speed_requested_percent;
   gboolean throttle_pending;
-  int64_t throttled_ms; /* time of the last change of speed */
+  gboolean throttle_failed;     /* the last throttle call */
+  int64_t throttle_sent_ms;     /* time of the last throttle call */
+  int64_t throttle_in_doubt_ms; /* time of the last throttle call without a
+                                   reply, which may still arrive; 0: none */
+  int64_t throttled_ms;         /* time of the last change of speed */
   char *checkpoint;
   gboolean checkpoint_rejected; /* one was over the limit; logged once */
   char *payload;
@@ -152,6 +160,7 @@
 void runner_report_finish (struct hk_runner *r);
 
 /* runner_run.c */
+gboolean runner_call_in_doubt (int rc);
 struct runner_run *runner_run_find (struct hk_runner *r,
                                     const hk_task_id *task, unsigned number);
 void runner_run_accept (struct hk_runner *r, const hk_start_order *order);
