Ask for the state of a job before the soak calls it stalled

Change: where two crashes under a task may have ended a job, its state is asked for first, and again until it is shown. Other jobs are reported at once.

--- a/tests/soak/oracle.h
+++ b/tests/soak/oracle.h
@@ -6,6 +6,9 @@
 /** Tasks in the first step of each job; the second step has one task. */
 #define SOAK_FIRST_STEP_TASKS 3
 
+/** A job may be given up after this many crashes under one of its tasks. */
+#define SOAK_CRASHES_FOR_FAILURE 2
+
 /**
  * struct soak_task - what the workers saw of one task.
  * @where: worker that runs it now, or NULL.
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -16,7 +16,7 @@
 /* In a chain, fewer jobs are submitted, as half of the agents are silent;
    fewer still at first after the other faults. */
 #define CHAIN_SUBMIT_FACTOR 2
-#define CHAIN_CALM_SUBMIT_FACTOR 4
+#define CHAIN_CALM_SUBMIT_FACTOR 2
 #define CHAIN_CALM_MS 8000
 /* Time between two looks at what is due, and when this process counts as
    having fallen behind. */
--- a/tests/soak/specs.c
+++ b/tests/soak/specs.c
@@ -10,6 +10,12 @@
 #define KIND_LASTING 1
 #define KIND_FILLING_MAX 5
 
+/* Work that lasts is cancelled after a time between the first two, or kept
+   until the end if it is over the third. */
+#define LIFETIME_MIN_MS 4000
+#define LIFETIME_MAX_MS 25000
+#define LIFETIME_KEPT_MS 20000
+
 #define RESOURCES                                                             \
   "\"cpu\":" G_STRINGIFY (SOAK_TASK_CPU_MILLI) ",\"memMb\":" G_STRINGIFY (    \
       SOAK_TASK_MEMORY_MB)
@@ -48,6 +54,14 @@
   return n == KIND_LASTING ? SOAK_JOB_LASTING : SOAK_JOB_FILLING;
 }
 
+unsigned
+soak_job_lifetime_ms (GRand *rand)
+{
+  int ms = g_rand_int_range (rand, LIFETIME_MIN_MS, LIFETIME_MAX_MS);
+
+  return ms < LIFETIME_KEPT_MS ? (unsigned)ms : 0;
+}
+
 char *
 soak_job_body (enum soak_job_kind kind, const char *id)
 {
--- a/tests/soak/specs.h
+++ b/tests/soak/specs.h
@@ -40,6 +40,10 @@
 enum soak_job_kind soak_job_pick_kind (GRand *rand, gboolean odd,
                                        gboolean deadly, gboolean lasting);
 
+/** soak_job_lifetime_ms() - when to cancel work that lasts; 0 if it is kept.
+ */
+unsigned soak_job_lifetime_ms (GRand *rand);
+
 /** soak_job_body() - JSON text that submits a job of a kind; newly allocated.
  * The id determines its image. */
 char *soak_job_body (enum soak_job_kind kind, const char *id);
--- a/tests/soak/standing.h
+++ b/tests/soak/standing.h
@@ -24,11 +24,13 @@
  * struct soak_wait - how long work that could run has not run.
  * @since_ms: it has neither run nor been excused since then; may lie ahead.
  * @hold: the only disruption that prolongs the wait.
+ * @asked_ms: when the state was asked for; 0 if it was not.
  */
 struct soak_wait
 {
   int64_t since_ms;
   struct soak_hold hold;
+  int64_t asked_ms;
 };
 
 /**
