Count a crash of one incarnation of an endpoint once

Cause: a report of lost runs was taken for a crash whenever it came. After an agent had been frozen, it reported that its endpoint was gone; the tasks were placed there again at once, and 0.11 s later they were lost with the same incarnation, at an age that looked like a cause.

A run that was ordered at an incarnation which had crashed before, and that no report has shown as started, counts against no task now. A crash of a new incarnation counts as before, so tasks that crash their endpoints are given up after as many starts.

The simulated endpoints of test_crash.c now come back as another incarnation after a crash, as real ones do; all its bounds are as they were.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -267,6 +267,8 @@
  * @n_exclusive: part of @n_watched beside which nothing may start.
  * @reserved_until_ms: until then only an exclusive run may start.
  * @reservable_from_ms: not reserved again before this time.
+ * @crashed_start_time_ms: start time of the last incarnation of which a crash
+ *                         was reported; 0 if none.
  * @failure_rate: moving average of the share of runs that failed, 0 to 1.
  * @run_time_ratio: moving average of measured over expected run time; 1 is
  *                  normal.
@@ -307,6 +309,7 @@
   unsigned n_exclusive;
   int64_t reserved_until_ms;
   int64_t reservable_from_ms;
+  int64_t crashed_start_time_ms;
   double failure_rate;
   double run_time_ratio;
   int64_t suspect_until_ms;
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -377,7 +377,7 @@
 void coord_waiting_report (struct hk_coord *c, int64_t now);
 
 /* coord_crash.c */
-void coord_crash_apply (struct hk_coord *c, const struct hk_instance *in,
+void coord_crash_apply (struct hk_coord *c, struct hk_instance *in,
                         const GPtrArray *runs, const char *why, int64_t now);
 void coord_crash_check (struct hk_coord *c);
 void coord_crash_adopt (struct hk_coord *c);
--- a/src/coord/coord_crash.c
+++ b/src/coord/coord_crash.c
@@ -119,10 +119,31 @@
       hk_engine_run_watch (task->runs[r], hk_crash_watch_of (&task->crash));
 }
 
+/* Whether a run was ordered at an incarnation that had crashed before and has
+   not answered since, so that nothing is known of what it does there. */
+static gboolean
+is_after_crash (const struct hk_instance *in, const struct hk_run *run)
+{
+  return run->instance_start_time_ms != 0 && !run->started_ms
+         && run->instance_start_time_ms == in->crashed_start_time_ms;
+}
+
+static void
+note_crashed_incarnation (struct hk_instance *in, const GPtrArray *runs)
+{
+  for (guint i = 0; i < runs->len; i++)
+    {
+      const struct hk_run *run = runs->pdata[i];
+
+      if (run->may_execute)
+        in->crashed_start_time_ms = run->instance_start_time_ms;
+    }
+}
+
 /* Records that the endpoint of an instance has crashed under @runs, which have
    not been ended yet. Their tasks may be given up. */
 void
-coord_crash_apply (struct hk_coord *c, const struct hk_instance *in,
+coord_crash_apply (struct hk_coord *c, struct hk_instance *in,
                    const GPtrArray *runs, const char *why, int64_t now)
 {
   g_autoptr (GPtrArray) counted = g_ptr_array_new ();
@@ -132,7 +153,8 @@
     {
       struct hk_run *run = runs->pdata[i];
 
-      if (!run->may_execute || !hk_engine_job_active (run->task->step->job)
+      if (!run->may_execute || is_after_crash (in, run)
+          || !hk_engine_job_active (run->task->step->job)
           || !hk_crash_count (&run->task->crash, run_age_ms (c, run, now),
                               run_alive_ms (c, run)))
         continue;
@@ -140,6 +162,7 @@
       if (is_likely_cause (c, run, now))
         n_causes++;
     }
+  note_crashed_incarnation (in, runs);
   log_crash (c, in, runs, n_causes, why, now);
   for (guint i = 0; i < counted->len; i++)
     {
--- a/tests/coord/test_crash.c
+++ b/tests/coord/test_crash.c
@@ -126,9 +126,11 @@
       for (unsigned k = n_before; k < a->n_runs; k++)
         crashed = crashes_endpoint (s, &a->runs[k]) || crashed;
       if (crashed)
-        s->n_crashes--;
-      if (crashed)
-        end_runs (a, HK_END_LOST);
+        {
+          s->n_crashes--;
+          end_runs (a, HK_END_LOST);
+          a->endpoint_started_ms++;
+        }
       else if (n_before > 0 && n_before == a->n_runs && ++s->survived[i] > 4)
         end_runs (a, HK_END_DONE);
       if (a->n_runs == 0)
