Blame no task for crashes that something else explains

Cause: coincidence was taken for cause. A crash at an unknown age, as after a takeover, counted like one whose age agreed with those before, and crashes of several instances at once counted one by one.

A crash that no run explains has a cause outside of its instance. It now takes back what crashes of other instances within 0.5 s have counted, once in a row for each task; tasks that crash their endpoints explain these crashes, so several at once are blamed as before. A task is given up 0.5 s after the crash that convicts it, when reports of others have arrived, and does not start meanwhile. An unknown age opens no suspicion. Crashes that were not counted still count for the bound of five, so a cause beside other crashes starts five times at most. Records are unchanged.

--- a/include/hyssopkeel/crash_blame.h
+++ b/include/hyssopkeel/crash_blame.h
@@ -18,12 +18,21 @@
  * @age_ms: least age of its runs at these crashes.
  * @survived_ms: longest time for which a run of the task is known to have
  *               lived.
+ * @counted_ms: time of the last crash counted, set by the caller; 0 if none.
+ * @crashes_before: @crashes before it.
+ * @age_before_ms: @age_ms before it.
+ * @excused: crashes in the same row that were not counted, as their ages were
+ *           unknown or they had another cause.
  */
 struct hk_crash_history
 {
   unsigned crashes;
   int64_t age_ms;
   int64_t survived_ms;
+  int64_t counted_ms;
+  unsigned crashes_before;
+  int64_t age_before_ms;
+  unsigned excused;
 };
 
 /**
@@ -56,13 +65,32 @@
  * @alive_ms: time from its start to the last report that showed it running.
  *
  * A task of which a run has lived clearly longer than @age_ms did not cause
- * the crash.
+ * the crash. A crash at an unknown age only counts against a suspect, as the
+ * evidence is that the ages agree.
  *
  * Return: whether the crash counts against the task.
  */
 gboolean hk_crash_count (struct hk_crash_history *h, int64_t age_ms,
                          int64_t alive_ms);
 
+/**
+ * hk_crash_retract() - take back the last crash counted, as another cause was
+ *                      found.
+ * @h: history of the task; updated.
+ *
+ * One crash in a row is taken back: where endpoints crash often, others crash
+ * by chance beside those that the task does crash.
+ *
+ * Return: whether it was taken back.
+ */
+gboolean hk_crash_retract (struct hk_crash_history *h);
+
+/**
+ * hk_crash_clear() - forget the crashes of a task that proved harmless.
+ * @h: history of the task; updated.
+ */
+void hk_crash_clear (struct hk_crash_history *h);
+
 /**
  * hk_crash_watch_of() - how the next run of a task has to be separated.
  * @h: history of the task.
--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -121,6 +121,8 @@
  *            end of a task of an earlier step, or the end of its own run.
  * @checkpoint: newest checkpoint, or NULL.
  * @crash: crashes of endpoints that it may have caused.
+ * @give_up_at_ms: it is given up then, unless its last crash turns out to have
+ *                 another cause; 0 if it is not.
  * @reserved_until_ms: it waits until then for an instance that is kept free of
  *                     other starts.
  * @runs: runs that may be executing; more than one only if the step is
@@ -136,6 +138,7 @@
   int64_t ready_ms;
   char *checkpoint;
   struct hk_crash_history crash;
+  int64_t give_up_at_ms;
   int64_t reserved_until_ms;
   struct hk_run *runs[HK_RUNS_PER_TASK];
 };
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -75,7 +75,7 @@
   coord_runs_expire (c, now);
   if (coord_store_failing (c, now))
     coord_commit_drop_unsent (c);
-  coord_crash_check (c);
+  coord_crash_check (c, now);
   coord_stragglers_check (c, now);
   coord_drain (c, now);
   coord_best_effort_relocate (c, now);
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "hyssopkeel/clock.h"
+#include "hyssopkeel/crash_domain.h"
 #include "hyssopkeel/engine.h"
 #include "hyssopkeel/json.h"
 #include "hyssopkeel/log.h"
@@ -202,6 +203,8 @@
   int64_t predecessor_ceased_ms; /* last answer of one that it does not lead */
   int64_t consolidated_ms;     /* last time service tasks were consolidated */
   int64_t waiting_reported_ms; /* last report of tasks that wait */
+  struct hk_crash_domain crash_domain;
+  int64_t give_up_at_ms; /* the earliest of all tasks; 0 if none */
 
   struct hk_engine engine;
   gboolean engine_ready;
@@ -379,7 +382,7 @@
 /* coord_crash.c */
 void coord_crash_apply (struct hk_coord *c, struct hk_instance *in,
                         const GPtrArray *runs, const char *why, int64_t now);
-void coord_crash_check (struct hk_coord *c);
+void coord_crash_check (struct hk_coord *c, int64_t now);
 void coord_crash_adopt (struct hk_coord *c);
 
 /* coord_crash_place.c */
--- a/src/coord/coord_crash.c
+++ b/src/coord/coord_crash.c
@@ -47,7 +47,8 @@
          || (age != HK_CRASH_AGE_UNKNOWN && age <= HK_CRASH_QUICK_MS);
 }
 
-static void
+/* Returns FALSE if no run may have executed there. */
+static gboolean
 log_crash (const struct hk_coord *c, const struct hk_instance *in,
            const GPtrArray *runs, unsigned n_causes, const char *why,
            int64_t now)
@@ -64,7 +65,7 @@
         youngest = run;
     }
   if (!youngest)
-    return;
+    return FALSE;
   hk_metric_get ("hyssopkeel_endpoint_crashes_total", "")->value++;
   hk_log (HK_LOG_WARN, "crash", in->name, youngest->task->step->job->spec.id,
           "event=endpoint_crashed why=\"%s\" runs=%u causes=%u step=%u "
@@ -72,23 +73,32 @@
           why, runs->len, n_causes, youngest->task->step->index,
           youngest->task->index, youngest->number,
           run_age_ms (c, youngest, now), youngest->task->crash.crashes);
+  return TRUE;
 }
 
 static void
-task_give_up (const struct hk_instance *in, struct hk_run *run, gboolean alone,
-              int64_t now)
+task_give_up (struct hk_engine_task *task, int64_t now)
 {
-  struct hk_engine_task *task = run->task;
-
   hk_metric_get ("hyssopkeel_tasks_given_up_total", "")->value++;
-  hk_log (HK_LOG_ERROR, "crash", in->name, task->step->job->spec.id,
-          "event=task_given_up step=%u index=%u run=%u crashes=%u alone=%d "
-          "why=\"endpoints crash under it; its job fails\"",
-          task->step->index, task->index, run->number, task->crash.crashes,
-          alone);
+  hk_log (HK_LOG_ERROR, "crash", NULL, task->step->job->spec.id,
+          "event=task_given_up step=%u index=%u run=%u crashes=%u "
+          "age_ms=%" G_GINT64_FORMAT
+          " why=\"endpoints crash under it; its job fails\"",
+          task->step->index, task->index, task->last_run, task->crash.crashes,
+          task->crash.age_ms);
   hk_engine_task_give_up (task, now, coord_wall_ms ());
 }
 
+/* Crashes of other instances that are still to be reported may show another
+   cause. */
+static void
+give_up_later (struct hk_coord *c, struct hk_engine_task *task, int64_t now)
+{
+  task->give_up_at_ms = now + HK_CRASH_COMMON_MS + 1;
+  if (!c->give_up_at_ms)
+    c->give_up_at_ms = task->give_up_at_ms;
+}
+
 /* Tasks that last start again however they end. */
 static gboolean
 may_be_given_up (const struct hk_engine_task *task)
@@ -119,6 +129,50 @@
       hk_engine_run_watch (task->runs[r], hk_crash_watch_of (&task->crash));
 }
 
+static void
+tasks_foreach (struct hk_coord *c,
+               void (*visit) (struct hk_coord *c, struct hk_engine_task *task,
+                              int64_t now),
+               int64_t now)
+{
+  struct hk_engine_job *job;
+  struct hk_engine_job *next;
+
+  for (job = TAILQ_FIRST (&c->engine.active); job; job = next)
+    {
+      next = TAILQ_NEXT (job, link);
+      for (unsigned i = 0; i < job->spec.steps.steps_len; i++)
+        for (unsigned t = 0; t < job->steps[i].spec->count; t++)
+          visit (c, &job->steps[i].tasks[t], now);
+    }
+}
+
+static void
+retract_if_recent (struct hk_coord *c, struct hk_engine_task *task,
+                   int64_t now)
+{
+  (void)c;
+  if (!task->crash.counted_ms
+      || now - task->crash.counted_ms > HK_CRASH_COMMON_MS)
+    return;
+  if (!hk_crash_retract (&task->crash))
+    return;
+  task->give_up_at_ms = 0;
+  task_watch (task);
+  hk_engine_job_mark_dirty (task->step->job);
+}
+
+/* Takes back what the crashes of several instances at once have counted
+   against tasks. */
+static void
+retract_recent (struct hk_coord *c, int64_t now)
+{
+  hk_log (HK_LOG_WARN, "crash", NULL, NULL,
+          "event=crashes_at_once; no run explains all of them, so they do not "
+          "count");
+  tasks_foreach (c, retract_if_recent, now);
+}
+
 /* Whether a run was ordered at an incarnation that had crashed before and has
    not answered since, so that nothing is known of what it does there. */
 static gboolean
@@ -158,27 +212,25 @@
           || !hk_crash_count (&run->task->crash, run_age_ms (c, run, now),
                               run_alive_ms (c, run)))
         continue;
+      run->task->crash.counted_ms = now;
       g_ptr_array_add (counted, run);
       if (is_likely_cause (c, run, now))
         n_causes++;
     }
   note_crashed_incarnation (in, runs);
-  log_crash (c, in, runs, n_causes, why, now);
+  if (!log_crash (c, in, runs, n_causes, why, now))
+    return;
+  if (hk_crash_domain_add (&c->crash_domain, in, n_causes > 0, now))
+    retract_recent (c, now);
   for (guint i = 0; i < counted->len; i++)
     {
-      struct hk_run *run = counted->pdata[i];
+      const struct hk_run *run = counted->pdata[i];
       gboolean alone = run->watch == HK_CRASH_EXCLUSIVE && n_causes == 1;
 
-      if (!hk_engine_job_active (run->task->step->job))
-        continue;
-      if (may_be_given_up (run->task)
-          && hk_crash_gives_up (&run->task->crash, alone))
-        {
-          task_give_up (in, run, alone, now);
-          continue;
-        }
       if (!may_be_given_up (run->task))
         log_restart_delay (in, run);
+      else if (hk_crash_gives_up (&run->task->crash, alone))
+        give_up_later (c, run->task, now);
       task_watch (run->task);
     }
 }
@@ -196,20 +248,38 @@
           "event=suspect_cleared step=%u index=%u run=%u crashes=%u "
           "alive_ms=%" G_GINT64_FORMAT,
           task->step->index, task->index, run->number, h->crashes, alive);
-  h->crashes = 0;
+  hk_crash_clear (h);
   h->survived_ms = MAX (h->survived_ms, alive);
   task_watch (task);
   hk_engine_job_mark_dirty (task->step->job);
 }
 
-/* Clears the suspects whose runs outlived the age at which their endpoints
-   crashed. */
+static void
+give_up_if_due (struct hk_coord *c, struct hk_engine_task *task, int64_t now)
+{
+  if (!task->give_up_at_ms || !hk_engine_job_active (task->step->job))
+    return;
+  if (task->state != HK_TASK_WAITING)
+    task->give_up_at_ms = 0;
+  else if (now >= task->give_up_at_ms)
+    task_give_up (task, now);
+  else if (!c->give_up_at_ms || task->give_up_at_ms < c->give_up_at_ms)
+    c->give_up_at_ms = task->give_up_at_ms;
+}
+
+/* Gives up the tasks for which no other cause was found, and clears the
+   suspects whose runs outlived the age at which their endpoints crashed. */
 void
-coord_crash_check (struct hk_coord *c)
+coord_crash_check (struct hk_coord *c, int64_t now)
 {
   struct hk_instance *in;
   struct hk_run *run;
 
+  if (c->give_up_at_ms && now >= c->give_up_at_ms)
+    {
+      c->give_up_at_ms = 0;
+      tasks_foreach (c, give_up_if_due, now);
+    }
   if (c->engine.n_watched == 0)
     return;
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
@@ -226,6 +296,8 @@
   struct hk_instance *in;
   struct hk_run *run;
 
+  c->crash_domain = (struct hk_crash_domain){ 0 };
+  c->give_up_at_ms = 0;
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
   LIST_FOREACH (run, &in->runs, link)
   hk_engine_run_watch (run, hk_crash_watch_of (&run->task->crash));
--- a/src/coord/coord_crash_place.c
+++ b/src/coord/coord_crash_place.c
@@ -69,10 +69,13 @@
     }
 }
 
-/* Whether a task that is to last has to pause before it starts again. */
+/* Whether a task that is to last has to pause before it starts again, or
+   another is about to be given up. */
 gboolean
 coord_crash_pauses (const struct hk_engine_task *task, int64_t now)
 {
+  if (task->give_up_at_ms)
+    return TRUE;
   return (task->step->spec->flags & HK_STEP_SERVICE)
          && now - task->ready_ms < hk_crash_restart_delay_ms (&task->crash);
 }
--- a/src/engine/engine.c
+++ b/src/engine/engine.c
@@ -409,7 +409,7 @@
 
   run_free (run);
   if (how == HK_END_DONE || how == HK_END_FAILED)
-    task->crash.crashes = 0;
+    hk_crash_clear (&task->crash);
   if (checkpoint && *checkpoint && task->state != HK_TASK_DONE)
     {
       g_free (task->checkpoint);
--- a/src/policy/crash_blame.c
+++ b/src/policy/crash_blame.c
@@ -14,6 +14,9 @@
 /* Two crashes by chance must not end a job. */
 #define CRASHES_CONCLUSIVE 3
 #define CRASHES_MAX 5
+/* Crashes in a row that are taken back, so that a task that does crash its
+   endpoints starts CRASHES_MAX times at most. */
+#define RETRACTIONS_MAX 1
 /* The platform allows a task to wait for 3 s while there is room for it; a
    suspect of one crash is probably a bystander. */
 #define SHARED_WAIT_MAX_MS 2000
@@ -29,24 +32,49 @@
   return age_ms + age_ms / AGE_DIVISOR + PROBATION_MARGIN_MS;
 }
 
+void
+hk_crash_clear (struct hk_crash_history *h)
+{
+  h->crashes = 0;
+  h->excused = 0;
+}
+
 gboolean
 hk_crash_count (struct hk_crash_history *h, int64_t age_ms, int64_t alive_ms)
 {
   gboolean known = age_ms != HK_CRASH_AGE_UNKNOWN;
-  gboolean counts = !known || h->survived_ms < hk_crash_probation_ms (age_ms);
+  gboolean counts = known ? h->survived_ms < hk_crash_probation_ms (age_ms)
+                          : h->crashes > 0;
 
   h->survived_ms = MAX (h->survived_ms, alive_ms);
   if (!counts)
-    return FALSE;
+    {
+      h->excused += !known;
+      return FALSE;
+    }
   if (!known)
-    age_ms = h->crashes > 0 ? h->age_ms : HK_CRASH_QUICK_MS + 1;
+    age_ms = h->age_ms;
+  h->crashes_before = h->crashes;
+  h->age_before_ms = h->age_ms;
   if (ABS (age_ms - h->age_ms) > AGE_TOLERANCE_MS + h->age_ms / AGE_DIVISOR)
-    h->crashes = 0;
+    hk_crash_clear (h);
   h->age_ms = h->crashes > 0 ? MIN (h->age_ms, age_ms) : age_ms;
   h->crashes++;
   return TRUE;
 }
 
+gboolean
+hk_crash_retract (struct hk_crash_history *h)
+{
+  h->counted_ms = 0;
+  if (h->excused >= RETRACTIONS_MAX)
+    return FALSE;
+  h->excused++;
+  h->crashes = h->crashes_before;
+  h->age_ms = h->age_before_ms;
+  return TRUE;
+}
+
 /* Older runs seldom cause a crash and take long to clear, so they are
    separated only before they might exceed the limit. */
 enum hk_crash_watch
@@ -83,6 +111,6 @@
 gboolean
 hk_crash_gives_up (const struct hk_crash_history *h, gboolean alone)
 {
-  return h->crashes >= CRASHES_MAX
-         || (alone && h->crashes >= CRASHES_CONCLUSIVE);
+  return h->crashes >= CRASHES_CONCLUSIVE
+         && (alone || h->crashes + h->excused >= CRASHES_MAX);
 }
--- a/tests/coord/test_crash_common.c
+++ b/tests/coord/test_crash_common.c
@@ -6,6 +6,7 @@
 #include "coord_support.h"
 #include "hyssopkeel/clock.h"
 #include "hyssopkeel/crash_blame.h"
+#include "hyssopkeel/crash_domain.h"
 #include "hyssopkeel/log.h"
 
 #define VICTIM_JOB "1111111111111111"
@@ -288,6 +289,63 @@
   site_finish (&s);
 }
 
+/* Crashes that runs explain are independent of each other; one that none
+   explains has a cause in common with those beside it. */
+static void
+crashes_at_once_have_one_cause (void)
+{
+  const int instances[3] = { 0 };
+  struct hk_crash_domain d = { 0 };
+
+  g_assert_false (hk_crash_domain_add (&d, &instances[0], TRUE, 1000));
+  g_assert_false (hk_crash_domain_add (&d, &instances[1], TRUE, 1010));
+  g_assert_true (hk_crash_domain_add (&d, &instances[2], FALSE, 1020));
+  g_assert_true (hk_crash_domain_add (&d, &instances[0], TRUE,
+                                      1020 + HK_CRASH_COMMON_MS));
+  g_assert_false (hk_crash_domain_add (&d, &instances[0], TRUE,
+                                       1021 + HK_CRASH_COMMON_MS));
+}
+
+/* A crash with another cause leaves the history as it was. */
+static void
+crashes_are_retracted (void)
+{
+  struct hk_crash_history h = { 0 };
+
+  hk_crash_count (&h, 200, 0);
+  hk_crash_count (&h, 100, 0);
+  g_assert_true (hk_crash_retract (&h));
+  g_assert_cmpuint (h.crashes, ==, 1);
+  g_assert_cmpint (h.age_ms, ==, 200);
+  /* A task that crashes its endpoints is given up however many others crash
+     beside them. */
+  hk_crash_count (&h, 100, 0);
+  g_assert_false (hk_crash_retract (&h));
+  g_assert_cmpuint (h.crashes, ==, 2);
+  hk_crash_clear (&h);
+  hk_crash_count (&h, 100, 0);
+  hk_crash_count (&h, 9000, 0);
+  g_assert_true (hk_crash_retract (&h));
+  g_assert_cmpuint (h.crashes, ==, 1);
+  g_assert_cmpint (h.age_ms, ==, 100);
+}
+
+/* Crashes that were not counted count for the bound of starts. */
+static void
+starts_of_a_cause_are_bounded (void)
+{
+  struct hk_crash_history h = { 0 };
+
+  g_assert_false (hk_crash_count (&h, HK_CRASH_AGE_UNKNOWN, 0));
+  g_assert_cmpuint (h.crashes, ==, 0);
+  for (unsigned i = 0; i < 3; i++)
+    hk_crash_count (&h, 200, 0);
+  g_assert_true (hk_crash_gives_up (&h, TRUE));
+  g_assert_false (hk_crash_gives_up (&h, FALSE));
+  hk_crash_count (&h, 200, 0);
+  g_assert_true (hk_crash_gives_up (&h, FALSE));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -298,5 +356,8 @@
   ADD (waves_of_crashes_blame_no_task);
   ADD (one_incarnation_crashes_once);
   ADD (causes_are_given_up_beside_other_crashes);
+  ADD (crashes_at_once_have_one_cause);
+  ADD (crashes_are_retracted);
+  ADD (starts_of_a_cause_are_bounded);
   return g_test_run ();
 }
