--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -122,6 +122,8 @@
  * @ready_wall_ms: the same, time of day; 0 if unknown.
  * @checkpoint: newest checkpoint, or NULL.
  * @crash: crashes of endpoints that it may have caused.
+ * @give_up_at_ms: it is given up then, unless its last crash turns out to have
+ *                 another cause; 0 if it is not.
  * @reserved_until_ms: it waits until then for an instance that is kept free of
  *                     other starts.
  * @runs: runs that may be executing; more than one only if the step is
@@ -138,6 +140,7 @@
   int64_t ready_wall_ms;
   char *checkpoint;
   struct hk_crash_history crash;
+  int64_t give_up_at_ms;
   int64_t reserved_until_ms;
   struct hk_run *runs[HK_RUNS_PER_TASK];
 };
@@ -274,6 +277,8 @@
  * @n_exclusive: part of @n_watched beside which nothing may start.
  * @reserved_until_ms: until then only an exclusive run may start.
  * @reservable_from_ms: not reserved again before this time.
+ * @crashed_start_time_ms: start time of the last incarnation of which a crash
+ *                         was reported; 0 if none.
  * @failure_rate: moving average of the share of runs that failed, 0 to 1.
  * @run_time_ratio: moving average of measured over expected run time; 1 is
  *                  normal.
@@ -316,6 +321,7 @@
   unsigned n_exclusive;
   int64_t reserved_until_ms;
   int64_t reservable_from_ms;
+  int64_t crashed_start_time_ms;
   double failure_rate;
   double run_time_ratio;
   int64_t suspect_until_ms;
