Show a best-effort run that hangs and is left alone

Measured: /stragglers/best_effort_runs_that_hang_are_stopped fails: no stop in 8 s at full speed without progress, though another instance has room. Its first part, that a run at speed 0 and one that works are left alone, passes.

--- a/tests/coord/coord_support.c
+++ b/tests/coord/coord_support.c
@@ -98,6 +98,9 @@
   a->grant_ms = reply->grant_ms;
   a->starts += (int)reply->starts.starts_len;
   a->stops += (int)reply->stops.stops_len;
+  if (reply->stops.stops_len > 0)
+    a->stopped_index
+        = reply->stops.stops_val[reply->stops.stops_len - 1].task.index;
   a->acknowledged += (int)reply->committed_ends.committed_ends_len;
   for (u_int i = 0; i < reply->starts.starts_len; i++)
     {
--- a/tests/coord/coord_support.h
+++ b/tests/coord/coord_support.h
@@ -22,6 +22,7 @@
  * @grant_ms: lease grant in the last reply.
  * @starts: start orders received.
  * @stops: stop orders received.
+ * @stopped_index: index of the task of the last stop order.
  * @acknowledged: acknowledgements of ends received.
  * @last_run: run number of the last start order.
  */
@@ -41,6 +42,7 @@
   unsigned grant_ms;
   int starts;
   int stops;
+  unsigned stopped_index;
   int acknowledged;
   unsigned last_run;
 };
