Stop best-effort runs that make no progress at their speed

Callers saw: an accepted best-effort task stood still for good on an instance that was healthy and in touch.

Cause: the check of stalled runs passed over all best-effort runs, as they may be throttled, and nothing else looks at their progress.

Evidence: /stragglers/best_effort_runs_that_hang_are_stopped failed before: no stop in 8 s at full speed without progress.

Why this works: only time at speed counts: what the reports add to full_speed_ms since the last progress, 0 for a run at speed 0. The bound is the 20 % of the expected run time that other runs have, and at least 5 s at full speed, as a reported speed may be wrong for seconds after a throttle call without an answer. Best-effort runs get no speculative attempt, as before, for a throttled run lags; as for other runs, another instance must have room. Limits of other runs are as they were.

Not covered: a speed that is believed too high for over 5 s, after a throttle call that is carried out later than about 4 s.

Measured: the test passes: no stop in 8 s at speed 0 and while progress is made, then one stop of the run that hangs. ctest -R 'unit|sharing|engine' passes.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -69,6 +69,7 @@
  * @reported_ms: time of the last report that shows it.
  * @full_speed_ms: run time up to @reported_ms, weighted by speed.
  * @progress_ms: time of the last report with more progress, or of the first.
+ * @progress_full_speed_ms: @full_speed_ms at @progress_ms.
  * @alive_ms: time of the last report that shows a sign of life since the one
  *            before: other progress or another load sample. Reports repeat
  *            the last list until the agent notices a crash of the endpoint.
@@ -101,6 +102,7 @@
   int64_t reported_ms;
   double full_speed_ms;
   int64_t progress_ms;
+  double progress_full_speed_ms;
   int64_t alive_ms;
   int64_t throttled_since_ms;
   enum hk_crash_watch watch;
--- a/src/coord/coord_stragglers.c
+++ b/src/coord/coord_stragglers.c
@@ -15,19 +15,30 @@
    fifth of its run time, so the limit is at least that share. */
 #define STALL_MIN_MS 1000
 #define STALL_RUN_TIME_SHARE 0.2
+/* For best-effort runs, of time weighted by speed. Longer, as a reported speed
+   may be wrong for seconds after a throttle call without an answer. */
+#define BEST_EFFORT_STALL_MIN_MS 5000
 /* Run time ratio that is assumed for an instance with a stalled run, for
    SUSPECT_MS (the same value as in coord_estimate.c). */
 #define STALL_RUN_TIME_RATIO 8.0
 #define SUSPECT_MS 4000
 
+static gboolean
+is_best_effort (const struct hk_run *run)
+{
+  return (run->task->step->spec->flags & HK_STEP_BEST_EFFORT) != 0;
+}
+
 static gboolean
 is_stalled (struct hk_coord *c, const struct hk_run *run, int64_t now)
 {
   int64_t limit
-      = MAX (STALL_MIN_MS,
+      = MAX (is_best_effort (run) ? BEST_EFFORT_STALL_MIN_MS : STALL_MIN_MS,
              (int64_t)(STALL_RUN_TIME_SHARE
                        * (double)coord_estimate_ms (c, run->task->step)));
 
+  if (is_best_effort (run))
+    return run->full_speed_ms - run->progress_full_speed_ms > (double)limit;
   return now - run->progress_ms > limit && now - run->started_ms > limit;
 }
 
@@ -48,10 +59,7 @@
   const hk_step_spec *spec = task->step->spec;
   gboolean single = !task->runs[0] || !task->runs[1];
 
-  /* Best-effort runs may stall because they are throttled;
-     coord_interference.c handles them. */
-  if (!run->started_ms || run->to_stop
-      || (spec->flags & (HK_STEP_SERVICE | HK_STEP_BEST_EFFORT))
+  if (!run->started_ms || run->to_stop || spec->flags & HK_STEP_SERVICE
       || now - run->reported_ms > STALL_MIN_MS)
     return;
   if (is_stalled (c, run, now))
@@ -60,7 +68,8 @@
           = MAX (run->instance->run_time_ratio, STALL_RUN_TIME_RATIO);
       run->instance->suspect_until_ms = now + SUSPECT_MS;
     }
-  if (spec->flags & HK_STEP_SPECULATIVE)
+  /* A throttled run lags; a second one would not help it. */
+  if (spec->flags & HK_STEP_SPECULATIVE && !is_best_effort (run))
     {
       if (single && !hk_crash_watch_of (&task->crash)
           && (is_lagging (c, run, now) || is_stalled (c, run, now))
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -126,7 +126,10 @@
         += (double)(now - run->reported_ms) * run->speed_percent / 100.0;
   run->reported_ms = now;
   if (r->percent > run->progress_percent || !run->progress_ms)
-    run->progress_ms = now;
+    {
+      run->progress_ms = now;
+      run->progress_full_speed_ms = run->full_speed_ms;
+    }
   if (run->progress_ms == now || r->figure != run->load_sample)
     run->alive_ms = now;
   run->progress_percent = r->percent;
