Check takeovers while an agent is silent with a model

Three coordinators lead in turn; each may be cut off without knowing it, or be killed, at any moment. A leader lists the agent in the store with what is left of all grants, its own and inherited ones; it gives a listed agent none before a commit without it is confirmed, and its successor waits for the rest only, or for the whole authority if the agent is not listed. The agent hears whichever coordinator it likes. Never is the task placed while its run still lives.

Clocks agree and a lease is part of its grant; hk_authority_* allow for clocks that differ.

The check catches a grant to a listed agent, a list whose commit is open while grants go on, a list of the writer's own grants only, and a successor that does not read what is left. run.sh now fails too if spin prints no result for a broken variant. The claim model is unchanged.

--- a/tests/model/run.sh
+++ b/tests/model/run.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# Checks all states of the model for both properties, and that each broken
-# variant violates one_place.
+# Checks all states of the models for their properties, and that each broken
+# variant violates the first property of its model.
 set -euo pipefail
-model=$(cd "$(dirname "$0")" && pwd)/claim.pml
+models=$(cd "$(dirname "$0")" && pwd)
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
 cd "$dir"
@@ -10,8 +10,8 @@
 # Prints the numbers of errors and of states found for one property; "depth"
 # instead of the errors if the search depth was too small.
 check() {
-  local variant=$1 property=$2
-  spin $variant -a "$model" > /dev/null
+  local model=$1 variant=$2 property=$3
+  spin $variant -a "$models/$model.pml" > /dev/null
   gcc -O2 -w -DSAFETY -DCOLLAPSE -o pan pan.c
   timeout 120 ./pan -m20000 -N "$property" > out 2> /dev/null || true
   awk '/errors:/ {for (i = 1; i <= NF; i++) if ($i == "errors:") e = $(i+1)}
@@ -19,13 +19,20 @@
     END {print e, s}' out
 }
 
-for property in one_place one_result; do
-  read -r errors states < <(check "" $property)
-  echo "model $property: errors=$errors states=$states"
-  [ "$errors" = 0 ]
-done
-for variant in NO_COMPARE NO_LEASE NO_EXPIRY; do
-  read -r errors states < <(check "-D$variant" one_place)
-  echo "broken $variant: errors=$errors states=$states"
-  [ "$errors" != 0 ]
-done
+# check_model MODEL "PROPERTIES" "BROKEN VARIANTS"
+check_model() {
+  local model=$1 properties=$2 variants=$3 property variant
+  for property in $properties; do
+    read -r errors states < <(check "$model" "" "$property")
+    echo "$model $property: errors=$errors states=$states"
+    [ "$errors" = 0 ]
+  done
+  for variant in $variants; do
+    read -r errors states < <(check "$model" "-D$variant" "${properties%% *}")
+    echo "$model broken $variant: errors=$errors states=$states"
+    [ "$errors" != 0 ] && [ "$errors" -gt 0 ]
+  done
+}
+
+check_model claim "one_place one_result" "NO_COMPARE NO_LEASE NO_EXPIRY"
+check_model takeover one_run "GRANT_LISTED LIST_LATE OWN_ONLY READ_ONLY"
