Keep in the records how old the runs of suspects are

Cause: a suspect is cleared once its run has outlived the age at which its endpoints crashed, and until then an exclusive run keeps all other starts off its instance. A successor counted the life of an inherited run from its takeover, and without a sign of life it counts a lease late. In a chain of takeovers shorter than that the suspect was never cleared and the instance stayed closed.

Change: the record of a job has the ages of the runs of suspects, beside the waits, and each watched run's is written again when it has grown by 0.5 s. It is a lower bound, measured without the time of day; a life counts from there after a takeover. The first report of an inherited run is no sign of life any more, since its agent may not have noticed a crash yet; with the age carried over it could have cleared a cause. Ages at crashes are computed as before.

Cost: a commit row every 0.5 s for each job with a watched run.

--- a/src/engine/engine_record.c
+++ b/src/engine/engine_record.c
@@ -53,7 +53,8 @@
     return TRUE;
   if (!xdr_hk_job_crashes (xdr, &r->crashes))
     return FALSE;
-  return record_ends (xdr, r, r->waits.tasks.tasks_len)
+  return record_ends (xdr, r,
+                      r->waits.tasks.tasks_len + r->waits.runs.runs_len)
          || xdr_hk_job_waits (xdr, &r->waits);
 }
 
@@ -202,6 +203,7 @@
   g_autofree hk_place_name *names = NULL;
   g_autofree hk_task_crashes *crashes = NULL;
   g_autofree hk_task_wait *waits = NULL;
+  g_autofree hk_run_age *ages = NULL;
   struct progress_record r
       = { .progress = { .state = job->state,
                         .accepted_ms = job->accepted_wall_ms,
@@ -220,6 +222,9 @@
       waits = g_new0 (hk_task_wait, job->n_tasks);
       r.waits.tasks.tasks_len = engine_waits_collect (job, waits);
       r.waits.tasks.tasks_val = waits;
+      ages = g_new0 (hk_run_age, job->n_tasks);
+      r.waits.runs.runs_len = engine_ages_collect (job, ages);
+      r.waits.runs.runs_val = ages;
     }
   names = g_new0 (hk_place_name, places->len);
   for (guint i = 0; i < places->len; i++)
