Try a failed job again on the only instance that could hold it

Callers saw (hyssopkeeld): a queued job stood for ever beside free room, neither run again nor failed nor parked.

Cause: an instance on which a job failed was excluded until the job had failed on as many as its pool has, so those that are too small for it counted as left.

Evidence: two scenarios failed before, one run and then queued for a minute: jobs-failing-where-others-are-too-small, and jobs-failing-where-others-refuse, where the other instance shrank while it was attached.

Why this works: instances are excluded only while another one is available whose whole capacity, which each announcement brings up to date, could hold the job.

Measured: both scenarios pass, with three runs and state failed, the second in three of three runs. ctest -R 'jobs-failing-on|capacity-(imp|shr)|budget-job': 7 of 7 pass. Not shown: an instance that could hold the job and never takes it.

--- a/src/entry/offers.c
+++ b/src/entry/offers.c
@@ -197,17 +197,36 @@
   return i < 0 ? NULL : hk_member_from_candidate (view[i]);
 }
 
-/* A job that failed on every instance is tried again on any of them. */
+/* Whether an instance that is not excluded could hold the job. */
+static gboolean
+fits_other_instance (const GPtrArray *pool, const struct hk_size *need,
+                     const guint *ids, size_t n)
+{
+  for (guint i = 0; i < pool->len; i++)
+    {
+      const struct hk_candidate *c = g_ptr_array_index (pool, i);
+      size_t k = 0;
+
+      while (k < n && ids[k] != c->id)
+        k++;
+      if (k == n && c->available && hk_size_fits (need, &c->total))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Where a job failed it is tried again if no other instance could hold it. */
 static struct hk_member *
-choose_member (struct hk_sched *sched, const struct hk_job *job,
+choose_member (struct hk_sched *sched, const struct hk_sched_job *j,
                const struct hk_route *route, const GPtrArray *pool)
 {
   guint ids[EXCLUDED_MEMBERS_MAX];
-  size_t n = failed_instances (pool, job, ids);
+  size_t n = failed_instances (pool, &j->job, ids);
+  struct hk_size need = job_size (&j->job);
 
-  if (n == pool->len)
+  if (!fits_other_instance (pool, &need, ids, n))
     n = 0;
-  return choose_member_except (sched, job, route, pool, ids, n);
+  return choose_member_except (sched, &j->job, route, pool, ids, n);
 }
 
 static gboolean
@@ -252,7 +271,7 @@
         change_state (j, HK_JOB_PARKED, "fits no instance of its pool");
       return TRUE;
     }
-  m = pool ? choose_member (sched, &j->job, route, pool) : NULL;
+  m = pool ? choose_member (sched, j, route, pool) : NULL;
   if (!m)
     return j->job.failed_on != NULL; /* others may still find an instance */
   hk_sched_job_offer (j, m);
