--- a/tests/soak/standing.h
+++ b/tests/soak/standing.h
@@ -37,6 +37,7 @@
  * struct soak_standing - what excuses work that stands still.
  * @leader: who leads by the stored lead record; NULL if nobody does.
  * @store_ms: last time at which the store failed.
+ * @watched_ms: last time at which a process watched the store.
  * @hold: the last disruption.
  * @updated_ms: last update of these times.
  * @checked_ms: last check of the jobs.
@@ -46,6 +47,7 @@
 {
   struct soak_node *leader;
   int64_t store_ms;
+  int64_t watched_ms;
   struct soak_hold hold;
   int64_t updated_ms;
   int64_t checked_ms;
