--- a/tests/coord/test_passed_over.c
+++ b/tests/coord/test_passed_over.c
@@ -3,11 +3,13 @@
 #include <glib.h>
 
 #include "../../src/coord/coord.h"
+#include "hyssopkeel/pass_budget.h"
 
 #define INSTANCES 5
 /* The others are silent in the cases with a cut. */
 #define REACHABLE 3
 #define INSTANCE_CPU_MILLI 64000
+#define INSTANCE_MEMORY_MB 256000
 /* CPUs that services declare on an instance. Beside the larger ones there is
    room for two tasks of the job. */
 #define LIGHT_CPU_MILLI 30000
@@ -19,6 +21,10 @@
 #define WAIT_MAX_MS 2500
 #define SHARE_WAIT_MAX_MS 1500
 #define TARGET_MS 18
+#define SLOW_COMMIT_MS 600
+/* Two passes for those that fit nowhere, and one for the job that fits. The
+   share of the CPUs lets it start after 0.9 s. */
+#define PASSES_UNTIL_TURN 5
 #define BEST_EFFORT_TASKS 6
 
 /* A cluster whose services run near their targets, and a best-effort job. */
@@ -44,7 +50,7 @@
   in->link = l;
   in->pool = g_strdup ("pool");
   in->cpu_milli = INSTANCE_CPU_MILLI;
-  in->memory_mb = 256000;
+  in->memory_mb = INSTANCE_MEMORY_MB;
   in->capacity_known = TRUE;
   return in;
 }
@@ -250,6 +256,34 @@
   fixture_finish (&f);
 }
 
+/* Passes that wait for slow commits come later than the pause after a failed
+   placement, so the steps that come first were due again in each of them. */
+static void
+steps_beyond_the_budget_of_a_pass_have_their_turn (void)
+{
+  struct fixture f;
+  hk_step_spec too_large = step_of ("batch", 1, 1000, HK_STEP_BEST_EFFORT);
+
+  fixture_init (&f, INSTANCES, LIGHT_CPU_MILLI, LIGHT_CPU_MILLI);
+  hk_engine_job_cancel (f.job, f.now, f.now);
+  too_large.memory_mb = 2 * INSTANCE_MEMORY_MB;
+  for (unsigned i = 0; i < 2 * HK_PASS_STEPS_MAX; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%016x", 100 + i);
+
+      submit (&f, id, too_large);
+    }
+  f.job = submit (&f, "4444444444444444",
+                  step_of ("batch", 1, TASK_CPU_MILLI, HK_STEP_BEST_EFFORT));
+  for (int i = 0; i < PASSES_UNTIL_TURN; i++)
+    {
+      f.now += SLOW_COMMIT_MS;
+      pass (&f);
+    }
+  g_assert_cmpuint (count_reachable_runs (&f, f.job), >, 0);
+  fixture_finish (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -267,5 +301,8 @@
       restarted_tasks_do_not_renew_the_wait_of_others);
   g_test_add_func ("/passed_over/one_run_of_a_job_ends_its_wait",
                    one_run_of_a_job_ends_its_wait);
+  g_test_add_func (
+      "/passed_over/steps_beyond_the_budget_of_a_pass_have_their_turn",
+      steps_beyond_the_budget_of_a_pass_have_their_turn);
   return g_test_run ();
 }
