Try best-effort steps in rounds

A pass tries 20 best-effort steps, in the order of the jobs.

A step that failed now waits until a pass has come to the end of the list, so each step is tried once in a round, still in the order of the jobs. With commits of 10 ms nothing changes: a round ends before the pause does.

The case of passed_over that failed passes, as do the other six and the tests of coord, sharing, backlog, share, capacity, engine and pass-cost.

--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -210,6 +210,9 @@
   struct hk_rpc_server server;
   GHashTable *estimates;
   GHashTable *mean_work;
+  /* Best-effort steps that failed since then wait for the others. */
+  int64_t round_began_ms;
+  gboolean round_open; /* the last pass ended at its budget */
   struct hk_interference_model interference_model;
   LIST_HEAD (, coord_request) requests;
   gboolean ends_requests; /* no further attempts; see hk_coord_end_requests */
--- a/src/coord/coord_schedule.c
+++ b/src/coord/coord_schedule.c
@@ -77,7 +77,8 @@
 static void
 schedule_best_effort (struct coord_pass *p, struct hk_engine_step *step)
 {
-  if (p->now - step->placement_failed_ms < p->retry_ms)
+  if (p->now - step->placement_failed_ms < p->retry_ms
+      || step->placement_failed_ms >= p->c->round_began_ms)
     return;
   if (p->n_steps == HK_PASS_STEPS_MAX)
     {
@@ -220,6 +221,8 @@
   int64_t began_us = hk_clock_us ();
   struct coord_pass pass;
 
+  if (!c->round_open)
+    c->round_began_ms = now;
   coord_pass_init (&pass, c, now);
   pass.retry_ms = hk_pass_retry_ms (collect_jobs (c, list, now));
   qsort (list->data, list->len, sizeof (struct candidate), compare_order_keys);
@@ -241,6 +244,7 @@
       if (cand->waiting)
         schedule_job (&pass, cand->job);
     }
+  c->round_open = pass.exhausted;
   if (pass.exhausted)
     coord_pass_schedule_in (c, HK_PASS_CONTINUE_MS);
   log_pass (&pass, list, began_us);
