--- a/src/coord/coord_crash.c
+++ b/src/coord/coord_crash.c
@@ -307,7 +307,7 @@
     LIST_FOREACH (run, &in->runs, link)
   if (run->watch)
     {
-      age_store (c, run, hk_clock_ms ());
+      age_store (c, run, now);
       clear_if_harmless (c, run);
     }
 }
