--- a/src/coord/coord_silent.c
+++ b/src/coord/coord_silent.c
@@ -1,7 +1,6 @@
-/* Silent agents: how much longer the lease grants may last that any
-   coordinator has given them. The leader keeps this in the store, so that a
-   successor waits for the rest only. An agent that is listed there gets no
-   grant before a commit without it is confirmed; so a list that a successor
+/* Keeps in the store how much longer the lease grants of silent agents may
+   last, so that a successor waits for the rest only. A listed agent gets no
+   grant before a commit without it is confirmed, so a list that a successor
    reads names no agent that was granted anything since. */
 #include "coord.h"
 
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -314,9 +314,9 @@
   runs_end_lost (c, in, runs, "endpoint restarted", now);
 }
 
-/* Ends unwanted runs that were placed here but never ordered: they need no
-   stop order. All of them are unwanted while the agent is silent. Returns
-   whether there were any. */
+/* Ends unwanted runs that were placed here but never ordered, all of them
+   while the agent is silent: they need no stop order. Returns whether there
+   were any. */
 static gboolean
 unordered_runs_end (struct hk_instance *in, int64_t now)
 {
