--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -713,7 +713,7 @@
   for (guint i = 0; i < G_N_ELEMENTS (invalid); i++)
     {
       g_assert_true (g_file_set_contents (file, invalid[i].text, -1, NULL));
-      g_assert_cmpint (node_settings_load (&s, file, &err), ==,
+      g_assert_cmpint (node_settings_load (&s, file, NULL, &err), ==,
                        HK_ERR_INVALID);
       g_assert_nonnull (strstr (err.text, invalid[i].expected));
       g_assert_cmpstr (err.peer, ==, file);
@@ -722,6 +722,41 @@
   rmdir (dir);
 }
 
+/* Values that the deploy file passes on the command line replace those of the
+   file, and are checked as strictly. */
+static void
+settings_are_overridden (void)
+{
+  static const char text[]
+      = "{\"role\":\"entry\",\"name\":\"n\",\"domain\":\"d\",\"store\":\"s\","
+        "\"metrics\":\"m\",\"rpc\":\"r\",\"clients\":\"c\",\"readiness\":"
+        "\"y\","
+        "\"hold_ms\":3000}";
+  const char *const valid[]
+      = { "hold_ms=3500", "store=10.0.0.1:80", "own_ms=", NULL };
+  const char *const invalid[] = { "hold_ms=1", "surprise=1", "hold_ms", "=1" };
+  g_autofree char *dir = g_dir_make_tmp ("hyssopkeel-XXXXXX", NULL);
+  g_autofree char *file = g_build_filename (dir, "s.json", NULL);
+  struct node_settings s;
+  struct hk_error err;
+
+  g_assert_true (g_file_set_contents (file, text, -1, NULL));
+  g_assert_cmpint (node_settings_load (&s, file, valid, &err), ==, HK_OK);
+  g_assert_cmpint (s.hold_ms, ==, 3500);
+  g_assert_cmpint (s.own_ms, ==, 12000);
+  g_assert_cmpstr (s.store, ==, "10.0.0.1:80");
+  node_settings_finish (&s);
+  for (guint i = 0; i < G_N_ELEMENTS (invalid); i++)
+    {
+      const char *const one[] = { invalid[i], NULL };
+
+      g_assert_cmpint (node_settings_load (&s, file, one, &err), ==,
+                       HK_ERR_INVALID);
+    }
+  remove (file);
+  rmdir (dir);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -736,5 +771,6 @@
   ADD (invalid_heartbeats_are_rejected);
   ADD (submissions_are_validated_and_stored);
   ADD (settings_errors_name_file_and_path);
+  ADD (settings_are_overridden);
   return g_test_run ();
 }
