--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -26,6 +26,11 @@
 
 /* Retry-After while commits fail: outages of the store last seconds. */
 #define COORD_STORE_RETRY_AFTER_S 2
+/* Retry-After when another process can serve the request, once the load
+   balancer has detected this one; sooner retries would all come back here. */
+#define COORD_ELSEWHERE_RETRY_AFTER_S 1
+/* Reason of a refusal: a field is over its limit in hk_job.x. */
+#define COORD_NOT_ENCODABLE "a field of the job is over its limit"
 /* Capacity scores are capped at this. */
 #define COORD_CAPACITY_SCORE_MAX_PERCENT 100
 
@@ -314,6 +319,8 @@
 void coord_on_request (struct hk_rpc_request *req, void *args, void *user);
 void coord_request_handle (struct hk_coord *c, const hk_job_request_args *args,
                            hk_coord_request_done done, void *user);
+
+/* coord_forward.c */
 void coord_requests_retry (struct hk_coord *c);
 void coord_requests_drop (struct hk_coord *c);
 
