Refuse submissions that are read after a long suspension

Cause: the age of a request is not known where it is read, and tombstones expire.

Change: a process knows that it was suspended, since its timer did not run for longer than 90 % of the retention period. Why this suffices: a submission that waits in a connection of a frozen process was sent after the freeze began, and its cancellation later still, so a tombstone can only have expired if the process was suspended for the whole retention period.

--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -7,6 +7,12 @@
 /* After this time, longer than a takeover, clients are sent to another
    process. */
 #define ISOLATED_MS 1000
+/* Time in which a resumed process reads what arrived while it was suspended.
+ */
+#define RESUME_READ_MS 1000
+/* Part of the retention period of ended jobs. The rest covers steps of the
+   time of day, by which the coordinator measures that period. */
+#define SUSPENDED_RETENTION_PERCENT 90
 
 int64_t
 coord_wall_ms (void)
@@ -63,12 +69,42 @@
   coord_pass_schedule_in (c, 0);
 }
 
+/* A request that is read after a suspension is handled before or after the
+   tick, so both check. */
+static void
+note_awake (struct hk_coord *c, int64_t now)
+{
+  int64_t gap_ms = now - c->awake_ms;
+
+  if (c->awake_ms
+      && gap_ms * 100 >= c->keep_ended_ms * SUSPENDED_RETENTION_PERCENT)
+    {
+      c->resumed_ms = now;
+      hk_log (HK_LOG_WARN, "coord", NULL, NULL,
+              "event=resumed suspended_ms=%" G_GINT64_FORMAT
+              " keep_ended_ms=%" G_GINT64_FORMAT
+              "; submissions are refused for %d ms, as they may have been "
+              "cancelled meanwhile",
+              gap_ms, c->keep_ended_ms, RESUME_READ_MS);
+    }
+  c->awake_ms = now;
+}
+
+gboolean
+coord_submission_may_be_stale (struct hk_coord *c, int64_t now)
+{
+  note_awake (c, now);
+  return c->resumed_ms && now - c->resumed_ms < RESUME_READ_MS;
+}
+
 static void
 on_tick (void *user)
 {
   struct hk_coord *c = user;
   int64_t now = hk_clock_ms ();
 
+  note_awake (c, now);
+
   hk_timer_set (&c->tick_timer, TICK_INTERVAL_MS, on_tick, c);
   if (c->state != COORD_LEADING)
     return;
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -199,8 +199,10 @@
   gboolean lead_read_failed; /* the last read of the lead record failed */
   int64_t suspected_rev;     /* of the record of the suspected leader */
   int64_t taken_over_ms;
-  int64_t leading_since_ms;            /* agents are heard since then */
-  int64_t pinged_ms;                   /* last ping by a follower */
+  int64_t leading_since_ms; /* agents are heard since then */
+  int64_t pinged_ms;        /* last ping by a follower */
+  int64_t awake_ms;         /* the process was last known to run */
+  int64_t resumed_ms;       /* the last long suspension ended; 0 if none */
   int64_t leader_unreachable_since_ms; /* 0 while a leader answers */
   struct hk_timer watch_retry;
   struct hk_timer ping_timer;
@@ -437,6 +439,9 @@
                       unsigned *retry_after_s, const char **reason);
 
 /* coord.c */
+/* Whether a submission that is read now may have waited in its connection for
+   longer than the cancellation of an unknown id is remembered. */
+gboolean coord_submission_may_be_stale (struct hk_coord *c, int64_t now);
 void coord_engine_init (struct hk_coord *c);
 gboolean coord_isolated (const struct hk_coord *c, int64_t now);
 gboolean coord_store_call_end (struct hk_coord *c);
--- a/src/coord/coord_forward.c
+++ b/src/coord/coord_forward.c
@@ -12,6 +12,10 @@
    by then. */
 #define ATTEMPT_TIMEOUT_MS 1500
 
+/* Reason of the refusal of a submission that may have waited for too long. */
+#define READ_AFTER_SUSPENSION                                                 \
+  "this process was suspended and the job may have been cancelled meanwhile"
+
 /* A request made by this process, tried until it is answered or times out. */
 struct coord_request
 {
@@ -20,6 +24,7 @@
   int64_t received_ms;
   int64_t deadline_ms;
   gboolean encodable; /* @args could be copied */
+  gboolean stale;     /* may have been cancelled before it was read */
   gboolean delivered; /* may have reached a coordinator */
   gboolean in_flight; /* an attempt is */
   gboolean finished;  /* answered; released when the attempt in flight ends */
@@ -72,10 +77,12 @@
 }
 
 static void
-request_refuse (struct coord_request *q, const char *reason)
+request_refuse (struct coord_request *q, const char *reason,
+                unsigned retry_after_s)
 {
-  hk_job_request_reply reply
-      = { .outcome = HK_JOB_REQUEST_REFUSED, .reason = (char *)reason };
+  hk_job_request_reply reply = { .outcome = HK_JOB_REQUEST_REFUSED,
+                                 .retry_after_s = retry_after_s,
+                                 .reason = (char *)reason };
 
   request_finish (q, &reply);
 }
@@ -87,7 +94,15 @@
   int64_t now = hk_clock_ms ();
 
   if (!q->encodable)
-    request_refuse (q, COORD_NOT_ENCODABLE);
+    request_refuse (q, COORD_NOT_ENCODABLE, 0);
+  else if (q->stale)
+    {
+      hk_log (HK_LOG_INFO, "ask", NULL, q->args.id,
+              "event=refused queue=%s why=\"" READ_AFTER_SUSPENSION "\" "
+              "resumed_ms_ago=%" G_GINT64_FORMAT,
+              q->args.queue, now - q->c->resumed_ms);
+      request_refuse (q, READ_AFTER_SUSPENSION, COORD_ELSEWHERE_RETRY_AFTER_S);
+    }
   else if (now >= q->deadline_ms || q->c->ends_requests
            || (!q->delivered && !q->in_flight
                && (now - q->received_ms >= UNDELIVERED_TIMEOUT_MS
@@ -214,6 +229,8 @@
   q->done = done;
   q->user = user;
   q->encodable = request_args_copy (&q->args, args);
+  q->stale = args->kind == HK_JOB_REQUEST_SUBMIT
+             && coord_submission_may_be_stale (c, q->received_ms);
   LIST_INSERT_HEAD (&c->requests, q, link);
   hk_timer_set (&q->timer, 0, on_request_timer, q);
 }
--- a/tests/coord/test_cancel.c
+++ b/tests/coord/test_cancel.c
@@ -150,6 +150,39 @@
   memory_store_finish (&s);
 }
 
+/* Guards against a job that runs after its cancellation was acknowledged: a
+   process that was suspended for longer than tombstones are kept read the
+   submission once it resumed. */
+static void
+submissions_read_after_a_long_suspension_are_refused (void)
+{
+  struct hk_coord_options options = HK_COORD_OPTIONS_INIT;
+  struct memory_store s;
+  struct hk_coord *c;
+
+  options.keep_ended_ms = 1000;
+  memory_store_init (&s);
+  c = coord_start_with (&s.base, options, "e1", NULL);
+  test_run_until (is_leading, c);
+  g_assert_cmpint (outcome (c, HK_JOB_REQUEST_CANCEL, JOB), ==,
+                   HK_JOB_REQUEST_NOT_FOUND);
+  test_run_until (tombstone_is_gone, &s);
+  test_run_for (200);
+  /* The main loop does not run, as in a suspended process. */
+  g_usleep (1100 * 1000);
+  g_assert_cmpint (outcome (c, HK_JOB_REQUEST_SUBMIT, JOB), ==,
+                   HK_JOB_REQUEST_REFUSED);
+  g_assert_false (memory_store_has (&s, HK_KEY_SPECS JOB));
+  /* Other requests are answered meanwhile. */
+  g_assert_cmpint (outcome (c, HK_JOB_REQUEST_STATE, JOB), ==,
+                   HK_JOB_REQUEST_NOT_FOUND);
+  test_run_for (1200);
+  g_assert_cmpint (outcome (c, HK_JOB_REQUEST_SUBMIT, OTHER), ==,
+                   HK_JOB_REQUEST_DONE);
+  hk_coord_free (c);
+  memory_store_finish (&s);
+}
+
 /* Guards against records that are kept for good, and block the removal of
    later ones: what a predecessor had ended looked as if a commit were due. */
 static void
@@ -243,6 +276,7 @@
   ADD (cancellations_are_confirmed_once_stored);
   ADD (cancellations_are_refused_while_the_store_is_away);
   ADD (tombstones_are_kept_as_long_as_ended_jobs);
+  ADD (submissions_read_after_a_long_suspension_are_refused);
   ADD (successors_remove_what_ended_before);
   ADD (many_records_expire_together);
   ADD (number_of_tombstones_is_bounded);
