Place nothing on instances of evacuated failure domains

Cause: the operator can evacuate a failure domain, and it violates a rule to start a task there 5 s after that. The coordinator knew nothing of it.

Change: hk_coord_set_evacuations() passes the set of evacuated domains to the coordinator, whether it leads or not. coord_instance_obstacle() excludes their instances, so first starts, restarts, speculative attempts, suspects of crashes and moves obey. Runs there that are not known to have started are withdrawn, or stopped at the endpoint if they were ordered, and their tasks are placed elsewhere; nothing is ordered there any more, nor again. The domain of an instance is taken from every report, not only from those with a capacity. A coordinator that awaits the set places and orders nothing before it is known; one that was confirmed more than 2 s before the takeover does not count, as the process may have been suspended since.

--- a/include/hyssopkeel/coord.h
+++ b/include/hyssopkeel/coord.h
@@ -18,6 +18,8 @@
  * @capacity_score_percent: capacity score: processor and bandwidth of this
  * machine relative to what a coordinator should have, percent; values above
  * 100 count as 100. The machine with the higher score leads.
+ * @awaits_evacuations: as coordinator, place nothing before
+ * hk_coord_set_evacuations() was called.
  */
 struct hk_coord_options
 {
@@ -27,6 +29,7 @@
   int64_t keep_ended_ms;
   size_t record_max_bytes;
   unsigned capacity_score_percent;
+  gboolean awaits_evacuations;
 };
 
 #define HK_COORD_OPTIONS_INIT                                                 \
@@ -36,6 +39,17 @@
     .capacity_score_percent = 100                                             \
   }
 
+/**
+ * struct hk_evacuation - a failure domain in which nothing may start.
+ * @domain: name.
+ * @revision: of the operator's write that evacuated it.
+ */
+struct hk_evacuation
+{
+  const char *domain;
+  int64_t revision;
+};
+
 /**
  * hk_coord_request_done - called with the reply to a request about jobs.
  * @reply: reply, valid during the call.
@@ -74,6 +88,22 @@
  * return. */
 void hk_coord_free (struct hk_coord *c);
 
+/**
+ * hk_coord_set_evacuations() - replace the set of evacuated failure domains.
+ * @c: coordinator, whether it leads or not.
+ * @list: all evacuated domains; copied.
+ * @n: number of @list.
+ * @revision: revision of the store up to which this is known.
+ *
+ * To be called whenever the set was confirmed, also if it is the same: the
+ * last set stays in force until the next, and its age is logged. Nothing is
+ * placed on instances of these domains; runs there that are not known to have
+ * started are stopped, and their tasks placed elsewhere.
+ */
+void hk_coord_set_evacuations (struct hk_coord *c,
+                               const struct hk_evacuation *list, size_t n,
+                               int64_t revision);
+
 /** hk_coord_record_max_bytes() - limit of each record of a job. */
 size_t hk_coord_record_max_bytes (const struct hk_coord *c);
 
--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -262,6 +262,7 @@
  * @start_time_ms: start time of the present incarnation; 0 if not known.
  * @capacity_known: the agent has reported pool, labels and capacity.
  * @draining: no new runs may start.
+ * @evacuated: its failure domain is evacuated: no new runs may start.
  * @leaving: the agent or its endpoint is about to stop.
  * @drain_until_ms: deadline of the drain; its runs end with the instance.
  * @cpu_milli: CPUs, milli.
@@ -306,6 +307,7 @@
   int64_t start_time_ms;
   gboolean capacity_known;
   gboolean draining;
+  gboolean evacuated;
   gboolean leaving;
   int64_t drain_until_ms;
   unsigned cpu_milli;
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -145,6 +145,7 @@
   coord_engine_init (c);
   coord_commit_init (c);
   coord_estimates_init (c);
+  coord_evacuations_init (&c->evacuations, options->awaits_evacuations);
   hk_interference_model_init (&c->interference_model);
   return c;
 }
@@ -196,6 +197,7 @@
   coord_commit_finish (c);
   hk_engine_finish (&c->engine);
   g_free (c->loaded_silent);
+  coord_evacuations_finish (&c->evacuations);
   g_hash_table_unref (c->estimates);
   g_hash_table_unref (c->mean_work);
   hk_interference_model_finish (&c->interference_model);
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -41,13 +41,15 @@
 enum coord_wait_reason
 {
   COORD_WAIT_NONE,
-  COORD_WAIT_SILENT,   /* no recent report of the agent */
-  COORD_WAIT_UNKNOWN,  /* the capacity or the size of a run is not known */
-  COORD_WAIT_LISTED,   /* listed as silent in the store */
-  COORD_WAIT_DRAINING, /* draining or leaving */
-  COORD_WAIT_MISMATCH, /* another pool or label */
-  COORD_WAIT_PAUSED,   /* it refused a start */
-  COORD_WAIT_APART,    /* suspects of crashes run apart from others */
+  COORD_WAIT_SILENT,    /* no recent report of the agent */
+  COORD_WAIT_UNKNOWN,   /* the capacity or the size of a run is not known */
+  COORD_WAIT_LISTED,    /* listed as silent in the store */
+  COORD_WAIT_DRAINING,  /* draining or leaving */
+  COORD_WAIT_EVACUATED, /* its failure domain is evacuated */
+  COORD_WAIT_UNREAD,    /* the evacuated domains have not been read yet */
+  COORD_WAIT_MISMATCH,  /* another pool or label */
+  COORD_WAIT_PAUSED,    /* it refused a start */
+  COORD_WAIT_APART,     /* suspects of crashes run apart from others */
   COORD_WAIT_FULL,
   COORD_WAIT_UNRELIABLE, /* most recent runs failed */
   COORD_WAIT_HEADROOM,   /* too much of what service tasks leave */
@@ -168,6 +170,16 @@
   TAILQ_ENTRY (coord_predecessor) link;
 };
 
+/* Failure domains in which nothing may start. */
+struct coord_evacuations
+{
+  gboolean awaited;     /* nothing is placed before they are known */
+  uint64_t known_term;  /* they are known in this term */
+  int64_t confirmed_ms; /* last time the set was confirmed; 0 if never */
+  int64_t revision;     /* of the store, up to which it is known */
+  GHashTable *domains;  /* name to struct coord_evacuation */
+};
+
 struct hk_coord
 {
   struct hk_store *store;
@@ -219,6 +231,7 @@
   char *loaded_silent;      /* list of silent agents, likewise; or NULL */
   int64_t loaded_silent_ms; /* when that was read */
   struct hk_rpc_server server;
+  struct coord_evacuations evacuations;
   GHashTable *estimates;
   GHashTable *mean_work;
   /* Best-effort steps that failed since then wait for the others. */
@@ -305,6 +318,10 @@
 void coord_links_drop (struct hk_coord *c);
 void coord_runs_expire (struct hk_coord *c, int64_t now);
 
+/* Ends or stops runs that were placed on an instance and may not start there.
+   Returns whether any has ended. */
+gboolean coord_unstarted_runs_end (struct hk_instance *in, int64_t now);
+
 /* coord_sync_reply.c */
 void coord_link_reply (struct coord_link *l, gboolean force);
 void coord_link_park (struct coord_link *l);
@@ -391,6 +408,13 @@
                                struct hk_engine_step *step,
                                struct hk_job_place_view *v);
 
+/* coord_evacuate.c */
+void coord_evacuations_init (struct coord_evacuations *e, gboolean awaited);
+void coord_evacuations_finish (struct coord_evacuations *e);
+/* Whether this coordinator knows in which domains nothing may start. */
+gboolean coord_evacuations_known (struct hk_coord *c);
+void coord_evacuation_apply (struct hk_coord *c, struct hk_instance *in);
+
 /* coord_drain.c */
 void coord_drain (struct hk_coord *c, int64_t now);
 
--- a/src/coord/coord_candidates.c
+++ b/src/coord/coord_candidates.c
@@ -93,6 +93,10 @@
     return COORD_WAIT_UNKNOWN;
   if (in->draining || in->leaving)
     return COORD_WAIT_DRAINING;
+  if (in->evacuated)
+    return COORD_WAIT_EVACUATED;
+  if (!coord_evacuations_known (l->c))
+    return COORD_WAIT_UNREAD;
   if (strcmp (in->pool, step->job->spec.pool) != 0
       || !has_label (in, step->spec->label))
     return COORD_WAIT_MISMATCH;
--- a/src/coord/coord_describe.c
+++ b/src/coord/coord_describe.c
@@ -39,6 +39,15 @@
   in->labels = (char **)g_ptr_array_free (list, FALSE);
 }
 
+/* Does not wait for the capacity: nothing may be ordered before the domain is
+   known. */
+static void
+domain_update (struct hk_instance *in, const hk_sync_args *args)
+{
+  in->domain = text_update (in->domain, args->domain);
+  coord_evacuation_apply (((struct coord_link *)in->link)->c, in);
+}
+
 gboolean
 coord_instance_describe (struct hk_instance *in, const hk_sync_args *args,
                          int64_t now)
@@ -54,6 +63,7 @@
   in->draining = args->draining;
   in->leaving = args->leaving;
   in->drain_until_ms = now + args->drain_left_ms;
+  domain_update (in, args);
   if (!args->described)
     return changed;
   if (capacity_changed (in, args))
@@ -67,7 +77,6 @@
               in->start_time_ms);
     }
   in->capacity_known = TRUE;
-  in->domain = text_update (in->domain, args->domain);
   in->pool = text_update (in->pool, args->pool);
   in->cpu_milli = args->cpu_milli;
   in->memory_mb = args->memory_mb;
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -314,11 +314,20 @@
   runs_end_lost (c, in, runs, "endpoint restarted", now);
 }
 
-/* Ends unwanted runs that were placed here but never ordered, all of them
-   while the agent is silent: they need no stop order. Returns whether there
-   were any. */
+/* Whether a run that was placed here must not start any more. */
 static gboolean
-unordered_runs_end (struct hk_instance *in, int64_t now)
+may_not_start (const struct hk_run *run, gboolean silent)
+{
+  const struct hk_instance *in = run->instance;
+
+  return ((in->draining || in->evacuated) && !run->started_ms)
+         || (silent && !run->may_execute);
+}
+
+/* Ends unwanted runs that were placed here but never ordered, all of them
+   while the agent is silent: they need no stop order. */
+gboolean
+coord_unstarted_runs_end (struct hk_instance *in, int64_t now)
 {
   gboolean silent = now - in->last_report_ms >= REPORT_GAP_MAX_MS;
   gboolean ended = FALSE;
@@ -328,16 +337,15 @@
   for (run = LIST_FIRST (&in->runs); run; run = next)
     {
       next = LIST_NEXT (run, link);
-      /* Nothing may start on a draining instance. */
-      if ((in->draining && !run->started_ms) || (silent && !run->may_execute))
-        run->to_stop = TRUE;
+      if (!run->to_stop && may_not_start (run, silent))
+        hk_engine_run_stop (run);
       if (run->to_stop && !run->may_execute)
         {
           hk_log (HK_LOG_INFO, "sync", in->name, run->task->step->job->spec.id,
                   "event=run_withdrawn why=\"never ordered\" step=%u index=%u "
-                  "run=%u draining=%d silent=%d",
+                  "run=%u draining=%d evacuated=%d silent=%d",
                   run->task->step->index, run->task->index, run->number,
-                  in->draining, silent);
+                  in->draining, in->evacuated, silent);
           hk_engine_run_end (run, HK_END_REFUSED, NULL, now, coord_wall_ms ());
           ended = TRUE;
         }
@@ -417,7 +425,7 @@
   restart_apply (c, in, in_touch, now);
   coord_interference_learn (c, in, now);
   missing_runs_reorder (in, now);
-  pass_needed = unordered_runs_end (in, now) || pass_needed;
+  pass_needed = coord_unstarted_runs_end (in, now) || pass_needed;
   coord_link_reply (l, FALSE);
   coord_link_park (l);
   if (pass_needed)
@@ -447,7 +455,7 @@
   {
     int64_t until = MAX (in->granted_until_ms, in->inherited_until_ms);
 
-    unordered_runs_end (in, now);
+    coord_unstarted_runs_end (in, now);
     if (LIST_EMPTY (&in->runs)
         || now <= hk_authority_terminated_at (&c->authority, until))
       continue;
--- a/src/coord/coord_sync_reply.c
+++ b/src/coord/coord_sync_reply.c
@@ -58,8 +58,10 @@
                 int64_t now)
 {
   struct hk_instance *in = l->in;
-  gboolean commit_is_recent
-      = now - l->c->commit.confirmed_ms < START_COMMIT_AGE_MAX_MS;
+  gboolean starts_allowed
+      = !in->draining && !in->evacuated && !in->listed_silent
+        && coord_evacuations_known (l->c)
+        && now - l->c->commit.confirmed_ms < START_COMMIT_AGE_MAX_MS;
   gboolean awaiting = FALSE;
   size_t bytes = 0;
   struct hk_run *run;
@@ -81,7 +83,7 @@
         run->ordered_ms = now;
       }
     else if (run->version <= run->task->step->job->committed_version
-             && !in->draining && !in->listed_silent && commit_is_recent)
+             && starts_allowed)
       {
         hk_start_order start = { 0 };
 
--- a/tests/coord/coord_support.c
+++ b/tests/coord/coord_support.c
@@ -126,7 +126,7 @@
 report_send (struct agent *a)
 {
   hk_sync_args args = { .agent = (char *)a->name,
-                        .domain = (char *)"d",
+                        .domain = (char *)a->domain,
                         .endpoint_started_ms = a->endpoint_started_ms,
                         .described = TRUE,
                         .draining = a->draining,
@@ -168,6 +168,7 @@
 {
   memset (a, 0, sizeof *a);
   a->name = name;
+  a->domain = "d";
   a->endpoint_started_ms = 5;
   hk_rpc_channel_init (&a->channel, address, HK_COORD_PROGRAM, HK_COORD_V1);
 }
--- a/tests/coord/coord_support.h
+++ b/tests/coord/coord_support.h
@@ -10,6 +10,7 @@
  * struct agent - an agent that the test simulates.
  * @channel: connection to its coordinator.
  * @name: name in its reports; not owned.
+ * @domain: failure domain in its reports; not owned.
  * @runs: runs of its next report; start orders are appended.
  * @n_runs: number of @runs.
  * @ends: ends of its next report.
@@ -31,6 +32,7 @@
 {
   struct hk_rpc_channel channel;
   const char *name;
+  const char *domain;
   hk_run_report runs[8];
   unsigned n_runs;
   hk_run_end ends[8];
