Watch the operator's evacuations together with the configuration

Cause: the keys op/evacuate/ZONE were not read.

Change: one watch of op/ serves the configuration and the evacuations, so the number of store calls stays the same. The watch tells when it reads all keys again (reset in struct hk_store_watch_ops), and the set is then replaced as a whole: a key that was removed while events were lost sends no event. The set is passed on with each answer of the store, so that its age is known.

--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -241,6 +241,71 @@
   "InByZWZpeCI6Ii9wLyIsInNlcnZpY2UiOiJzIn0seyJuYW1lIjoicTIiLCJob3N0IjoiaC5l"  \
   "eGFtcGxlIiwicHJlZml4IjoiL3AvbG9uZy8iLCJzZXJ2aWNlIjoicyJ9XX0="
 
+/* Appends the domains and the revision to a text. */
+static void
+on_evacuated (const struct hk_evacuation *list, size_t n, int64_t revision,
+              void *user)
+{
+  GString *text = user;
+
+  for (size_t i = 0; i < n; i++)
+    g_string_append_printf (text, "%s@%d ", list[i].domain,
+                            (int)list[i].revision);
+  g_string_append_printf (text, "at %d\n", (int)revision);
+}
+
+static gboolean
+is_at_revision_12 (void *user)
+{
+  return strstr (((GString *)user)->str, "at 12\n") != NULL;
+}
+
+#define KEY_A                                                                 \
+  "{\"key\":\"op/evacuate/zone-a\",\"value\":\"b24=\",\"revision\":"
+#define KEY_B "{\"key\":\"op/evacuate/b\",\"value\":\"\",\"revision\":"
+
+/* Guards against evacuations that are missed or never end: one is read at the
+   start, one is written and removed in one answer, a key without a value
+   counts, and a key is removed while the store loses its events. */
+static void
+evacuated_domains_follow_the_store (void)
+{
+  static const struct scripted_response responses[]
+      = { { "/api/kv-range?prefix=op/", 200,
+            "{\"items\":[" KEY_A "4}],\"hasMore\":false,\"at\":6}" },
+          { "/api/kv-watch?prefix=op/&after=6", 200,
+            "{\"events\":[" KEY_B "7},{\"key\":\"op/evacuate/zone-a\","
+            "\"revision\":8},{\"key\":\"op/evacuate/\",\"value\":\"eA==\","
+            "\"revision\":8}],\"at\":8}" },
+          { "/api/kv-watch?prefix=op/&after=8", 200,
+            "{\"events\":[" KEY_A "9},{\"key\":\"op/evacuate/zone-a\","
+            "\"revision\":10}],\"at\":10}" },
+          { "/api/kv-watch?prefix=op/&after=10", 410, "{}" },
+          { "/api/kv-range?prefix=op/", 200,
+            "{\"items\":[" KEY_A "11}],\"hasMore\":false,\"at\":12}" },
+          { "/api/kv-watch?prefix=op/&after=12", 0, NULL },
+          { NULL, 0, NULL } };
+  struct scripted_server s;
+  struct kv_store store;
+  struct hk_queues queues;
+  struct config_watch w = { 0 };
+  g_autoptr (GString) text = g_string_new (NULL);
+
+  scripted_server_start (&s, responses);
+  kv_store_init (&store, s.address, 300);
+  hk_queues_init (&queues);
+  config_watch_start (&w, &store.base, &queues, on_evacuated, text);
+  test_run_until (is_at_revision_12, text);
+  test_run_for (50);
+  g_assert_cmpstr (text->str, ==,
+                   "zone-a@4 at 6\nb@7 at 8\nb@7 at 10\nzone-a@11 at 12\n");
+  config_watch_stop (&w);
+  kv_store_finish (&store);
+  test_run_for (50);
+  hk_queues_finish (&queues);
+  scripted_server_stop (&s);
+}
+
 /* Guards against a config that is missed or replaced by an older one: the
    first read is rejected, a watch call gets no response, and the store no
    longer has the events. */
@@ -248,30 +313,31 @@
 config_watch_recovers_from_failures (void)
 {
   static const struct scripted_response responses[]
-      = { { "/api/kv-range?prefix=op/config", 503, "{}" },
-          { "/api/kv-range?prefix=op/config", 200,
+      = { { "/api/kv-range?prefix=op/", 503, "{}" },
+          { "/api/kv-range?prefix=op/", 200,
             "{\"items\":[{\"key\":\"op/config\",\"value\":\"" CONFIG_5
             "\",\"revision\":4}],\"hasMore\":false,\"at\":6}" },
-          { "/api/kv-watch?prefix=op/config&after=6", 0, NULL },
-          { "/api/kv-watch?prefix=op/config&after=6", 410, "{}" },
-          { "/api/kv-range?prefix=op/config", 200,
+          { "/api/kv-watch?prefix=op/&after=6", 0, NULL },
+          { "/api/kv-watch?prefix=op/&after=6", 410, "{}" },
+          { "/api/kv-range?prefix=op/", 200,
             "{\"items\":[{\"key\":\"op/config\",\"value\":\"" CONFIG_7
             "\",\"revision\":8}],\"hasMore\":false,\"at\":9}" },
-          { "/api/kv-watch?prefix=op/config&after=9", 200,
+          { "/api/kv-watch?prefix=op/&after=9", 200,
             "{\"events\":[{\"key\":\"op/config\",\"value\":\"" CONFIG_5
             "\",\"revision\":10}],\"at\":10}" },
-          { "/api/kv-watch?prefix=op/config&after=10", 0, NULL },
-          { "/api/kv-watch?prefix=op/config&after=10", 0, NULL },
+          { "/api/kv-watch?prefix=op/&after=10", 0, NULL },
+          { "/api/kv-watch?prefix=op/&after=10", 0, NULL },
           { NULL, 0, NULL } };
   struct scripted_server s;
   struct kv_store store;
   struct hk_queues queues;
   struct config_watch w = { 0 };
+  g_autoptr (GString) text = g_string_new (NULL);
 
   scripted_server_start (&s, responses);
   kv_store_init (&store, s.address, 300);
   hk_queues_init (&queues);
-  config_watch_start (&w, &store.base, &queues);
+  config_watch_start (&w, &store.base, &queues, on_evacuated, text);
   test_run_until (has_newest_version, &queues);
   test_run_for (100);
   g_assert_cmpint (queues.version, ==, 7);
@@ -765,6 +831,7 @@
   ADD (range_reads_all_pages);
   ADD (txn_outcomes_are_distinguished);
   ADD (config_watch_recovers_from_failures);
+  ADD (evacuated_domains_follow_the_store);
   ADD (worker_responses_are_decoded);
   ADD (incarnations_are_identified);
   ADD (odd_rows_of_a_list_are_skipped);
