Log the expected and the observed speed of each best-effort run

Cause: no log line had the speed that the coordinator expected of a best-effort run when it placed it. expected= of event=moved is that of the instance to which a run could move, so the prediction could not be compared with what happened.

Change: event=run_ordered has the expected speed, that of the first 0.3 s, the use of headroom, the number of pairs without an observation and the age of the report; event=run_ended has the mean speed, the progress and the periods of speed 0.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -75,6 +75,17 @@
  *            the last list until the agent notices a crash of the endpoint.
  * @throttled_since_ms: time since which its speed has been so low that it
  *                      may be moved; 0 if it is not.
+ * @expected_speed: of a best-effort run, the fraction of its full speed that
+ *                  was expected when it was placed; owned by the coordinator,
+ *                  as the next ones.
+ * @expected_first: the same for the first horizon alone.
+ * @expected_usage: share of the headroom that best-effort runs were expected
+ *                  to take with it.
+ * @unknown_pairs: service images beside it, then, whose interference with its
+ *                 image had not been observed.
+ * @sample_age_ms: age of the instance's last report then.
+ * @still_ms: time for which reports showed it at speed 0.
+ * @stills: periods of speed 0.
  * @age_stored_ms: age for the record of its job, if it is watched.
  * @age_before_ms: the same, as a predecessor stored it; no more than its age
  *                 at the takeover.
@@ -108,6 +119,13 @@
   double progress_full_speed_ms;
   int64_t alive_ms;
   int64_t throttled_since_ms;
+  double expected_speed;
+  double expected_first;
+  double expected_usage;
+  unsigned unknown_pairs;
+  int64_t sample_age_ms;
+  int64_t still_ms;
+  unsigned stills;
   int64_t age_stored_ms;
   int64_t age_before_ms;
   enum hk_crash_watch watch;
--- a/include/hyssopkeel/interference_model.h
+++ b/include/hyssopkeel/interference_model.h
@@ -60,6 +60,12 @@
 unsigned hk_interference_model_image (struct hk_interference_model *model,
                                       const char *name);
 
+/** hk_interference_model_observed() - whether a pair has been observed, or its
+ * estimate was taken from another process; by the numbers of the images. */
+gboolean
+hk_interference_model_observed (const struct hk_interference_model *model,
+                                unsigned serving, unsigned best_effort);
+
 /**
  * hk_interference_model_at() - like hk_interference_model_get(), by numbers.
  */
--- a/include/hyssopkeel/job_placement.h
+++ b/include/hyssopkeel/job_placement.h
@@ -43,6 +43,9 @@
  * @other_images: number of different images of the other service tasks there.
  * @expected_speed: fraction of its full speed that the task would have there,
  *                  if best-effort, 0 to 1.
+ * @first_speed: the same shortly after its start.
+ * @unknown_pairs: service images there whose interference with the image of
+ *                 the task has not been observed.
  * @headroom_usage: what best-effort tasks would take there with the task, over
  *                  what they may take: of the scarcest resource; above 1 some
  *                  of them are throttled.
@@ -65,6 +68,8 @@
   unsigned same_image;
   unsigned other_images;
   double expected_speed;
+  double first_speed;
+  unsigned unknown_pairs;
   double headroom_usage;
   double headroom_cost;
   int64_t best_effort_free_milli;
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -374,6 +374,19 @@
 gboolean coord_is_service_run (const struct hk_run *run);
 gboolean coord_is_best_effort_run (const struct hk_run *run);
 
+/* coord_speed.c */
+#define COORD_SPEED_TEXT_MAX 128
+void coord_speed_expect (struct hk_run *run, const struct hk_job_place_view *v,
+                         int64_t now);
+void coord_speed_observe (struct hk_run *run, unsigned percent, int64_t now);
+double coord_speed_full_ms (const struct hk_run *run, int64_t now);
+/* The fields of a log line, with a space before the first, in @text, of
+   COORD_SPEED_TEXT_MAX bytes; "" if the run is not best-effort. */
+const char *coord_speed_describe_expected (const struct hk_run *run,
+                                           char *text);
+const char *coord_speed_describe (const struct hk_run *run, char *text,
+                                  int64_t now);
+
 /* coord_relocate.c */
 void coord_best_effort_relocate (struct hk_coord *c, int64_t now);
 
--- a/src/coord/coord_candidates.c
+++ b/src/coord/coord_candidates.c
@@ -365,7 +365,8 @@
       best = i;
   if (p->n == 0 || isinf (p->scores[best]))
     return FALSE;
-  hk_engine_task_place (task, p->instances[best], p->now);
+  coord_speed_expect (hk_engine_task_place (task, p->instances[best], p->now),
+                      &p->views[best], p->now);
   if (!p->need.best_effort)
     p->used_cpu_milli += p->need.cpu_milli;
   p->views[best] = (struct hk_job_place_view){ 0 };
--- a/src/coord/coord_estimate.c
+++ b/src/coord/coord_estimate.c
@@ -77,15 +77,6 @@
   e->ratio += QUEUE_SAMPLE_WEIGHT * (ratio - e->ratio);
 }
 
-/* Run time of a run as if at full speed: time at reduced speed counts in
-   proportion. */
-static double
-full_speed_ms (const struct hk_run *run, int64_t now)
-{
-  return run->full_speed_ms
-         + (double)(now - run->reported_ms) * run->speed_percent / 100.0;
-}
-
 void
 coord_estimate_learn (struct hk_coord *c, const struct hk_run *run,
                       hk_end_how how, int64_t now)
@@ -106,7 +97,7 @@
   /* A run resumed from a checkpoint covers only part of the run time. */
   if (how != HK_END_DONE || run->number > 1 || step->spec->estimate_ms == 0)
     return;
-  worked = full_speed_ms (run, now);
+  worked = coord_speed_full_ms (run, now);
   expected = (double)coord_estimate_ms (c, step);
   if (step->job->run_time_samples > 0 && expected > 0)
     in->run_time_ratio
--- a/src/coord/coord_sharing.c
+++ b/src/coord/coord_sharing.c
@@ -228,6 +228,9 @@
   struct hk_headroom_use use = { .limit = headroom_limit (row) };
   double before;
 
+  if (!hk_interference_model_observed (&c->interference_model, row->image,
+                                       image))
+    v->unknown_pairs++;
   use.added
       = hk_interference_model_at (&c->interference_model, row->image, image)
         * cpu_milli / total_milli;
@@ -257,6 +260,7 @@
   double speed[COORD_HORIZONS];
 
   v->headroom_usage = 0;
+  v->unknown_pairs = 0;
   v->headroom_cost = hk_headroom_cost (&cpus);
   for (int k = 0; k < COORD_HORIZONS; k++)
     speed[k] = 1.0;
@@ -270,6 +274,7 @@
                             cpu_milli, speed, v);
     }
   v->expected_speed = 0;
+  v->first_speed = s->saturated ? 0 : speed[0];
   if (s->saturated)
     return;
   for (int k = 0; k < COORD_HORIZONS; k++)
--- a/src/coord/coord_sync.c
+++ b/src/coord/coord_sync.c
@@ -121,9 +121,7 @@
       run->spec_requested = TRUE;
       run->ordered_ms = 0;
     }
-  if (run->started_ms && run->reported_ms)
-    run->full_speed_ms
-        += (double)(now - run->reported_ms) * run->speed_percent / 100.0;
+  coord_speed_observe (run, r->pace, now);
   run->reported_ms = now;
   if (r->percent > run->progress_percent || !run->progress_ms)
     {
@@ -194,12 +192,14 @@
 
   if (run && run->instance == l->in)
     {
+      char speed[COORD_SPEED_TEXT_MAX];
+
       hk_log (HK_LOG_INFO, "sync", l->in->name, e->task.job,
               "event=run_ended step=%u index=%u run=%u how=%d "
-              "ran_ms=%" G_GINT64_FORMAT " unwanted=%d failures=%u",
+              "ran_ms=%" G_GINT64_FORMAT " unwanted=%d failures=%u%s",
               end.step, end.index, end.run, e->how,
               run->started_ms ? now - run->started_ms : 0, run->to_stop,
-              task->failures);
+              task->failures, coord_speed_describe (run, speed, now));
       coord_estimate_learn (l->c, run, e->how, now);
       if (e->how != HK_END_REFUSED)
         l->in->refused_until_ms = 0;
--- a/src/coord/coord_sync_reply.c
+++ b/src/coord/coord_sync_reply.c
@@ -93,11 +93,17 @@
         run->may_execute = TRUE;
         run->spec_requested = FALSE;
         if (!run->ordered_ms)
-          hk_log (HK_LOG_INFO, "sync", in->name, start.task.job,
-                  "event=run_ordered step=%u index=%u run=%u "
-                  "waited_ms=%" G_GINT64_FORMAT " commit_ms=%" G_GINT64_FORMAT,
-                  start.task.step, start.task.index, start.run,
-                  run->placed_ms - run->task->ready_ms, now - run->placed_ms);
+          {
+            char speed[COORD_SPEED_TEXT_MAX];
+
+            hk_log (HK_LOG_INFO, "sync", in->name, start.task.job,
+                    "event=run_ordered step=%u index=%u run=%u "
+                    "waited_ms=%" G_GINT64_FORMAT
+                    " commit_ms=%" G_GINT64_FORMAT "%s",
+                    start.task.step, start.task.index, start.run,
+                    run->placed_ms - run->task->ready_ms, now - run->placed_ms,
+                    coord_speed_describe_expected (run, speed));
+          }
         run->ordered_ms = now;
       }
   }
--- a/src/policy/interference_model.c
+++ b/src/policy/interference_model.c
@@ -131,6 +131,13 @@
   return pair_at (model, serving, best_effort)->mean;
 }
 
+gboolean
+hk_interference_model_observed (const struct hk_interference_model *model,
+                                unsigned serving, unsigned best_effort)
+{
+  return pair_at (model, serving, best_effort)->known;
+}
+
 double
 hk_interference_model_get (const struct hk_interference_model *model,
                            const char *serving_image,
--- a/tests/coord/test_sharing.c
+++ b/tests/coord/test_sharing.c
@@ -253,6 +253,43 @@
   hk_coord_free (c);
 }
 
+/* The calibration of expected speeds compares them with these figures: time at
+   each speed counts up to the end, and a period of speed 0 counts once however
+   many reports show it. */
+static void
+speeds_over_the_life_of_a_run_are_described (void)
+{
+  struct hk_coord *c = coord_new ();
+  struct hk_instance *in = instance_new (c);
+  struct hk_engine_job *job = submit (c, 1);
+  struct hk_run *run = hk_engine_task_place (&job->steps[0].tasks[0], in, 1);
+  static const unsigned speeds[] = { 100, 0, 0, 50, 0 };
+  struct hk_job_place_view v = { .expected_speed = 0.75,
+                                 .first_speed = 0.5,
+                                 .headroom_usage = 0.25,
+                                 .unknown_pairs = 2 };
+  char text[COORD_SPEED_TEXT_MAX];
+
+  in->last_report_ms = 800;
+  coord_speed_expect (run, &v, 1000);
+  g_assert_cmpstr (coord_speed_describe_expected (run, text), ==,
+                   " expected=0.75 first=0.50 usage=0.25 unknown=2 "
+                   "sample_ms=200");
+  g_assert_cmpstr (coord_speed_describe (run, text, 1000), ==, "");
+  run->started_ms = 1000;
+  for (unsigned i = 0; i < G_N_ELEMENTS (speeds); i++)
+    {
+      coord_speed_observe (run, speeds[i], 1000 + 400 * (int64_t)i);
+      run->reported_ms = 1000 + 400 * (int64_t)i;
+      run->speed_percent = speeds[i];
+    }
+  run->progress_percent = 60;
+  g_assert_cmpstr (coord_speed_describe (run, text, 3000), ==,
+                   " speed=0.30 percent=60 stills=2 still_ms=1200");
+  instance_release (in);
+  hk_coord_free (c);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -271,5 +308,7 @@
   g_test_add_func (
       "/sharing/nothing_is_expected_to_run_beside_a_saturated_queue",
       nothing_is_expected_to_run_beside_a_saturated_queue);
+  g_test_add_func ("/sharing/speeds_over_the_life_of_a_run_are_described",
+                   speeds_over_the_life_of_a_run_are_described);
   return g_test_run ();
 }
