Let best-effort runs wait where they are forecast to recover

Cause: a run at low speed was relocated after 500 ms on the assumption that it stands still for 5 s more. The agent raises no speed within 600 ms of its last change, so that one noisy sample was enough. A relocation costs a stop of 0.6 s and a restore of 0.6 s.

Change: the forecast that placement uses, for the run where it is and without counting it beside itself, gives the time until it is done there.

--- a/include/hyssopkeel/relocation.h
+++ b/include/hyssopkeel/relocation.h
@@ -16,6 +16,8 @@
  * @remaining_ms: run time that remains, at full speed, milliseconds.
  * @lost_ms: finished part of the run time that a restart would repeat.
  * @expected_speed: fraction of full speed on the other instance.
+ * @expected_here: fraction of full speed forecast for the next seconds where
+ * it is, 0 without a forecast.
  */
 struct hk_relocation_view
 {
@@ -24,6 +26,7 @@
   double remaining_ms;
   double lost_ms;
   double expected_speed;
+  double expected_here;
 };
 
 /**
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -403,6 +403,10 @@
                                const struct hk_instance *in,
                                struct hk_engine_step *step,
                                struct hk_job_place_view *v);
+/* The same for a run where it is, which does not count beside itself. */
+void coord_best_effort_expect_run (struct hk_coord *c,
+                                   const struct hk_run *run,
+                                   struct hk_job_place_view *v);
 
 /* coord_drain.c */
 void coord_drain (struct hk_coord *c, int64_t now);
--- a/src/coord/coord_relocate.c
+++ b/src/coord/coord_relocate.c
@@ -56,24 +56,31 @@
   struct hk_relocation_view v = { .speed = run->speed_percent / 100.0,
                                   .slow_ms = now - run->throttled_since_ms,
                                   .remaining_ms = remaining_ms (c, run) };
+  struct hk_job_place_view here = { 0 };
   struct hk_instance *to;
 
   if (!(spec->flags & HK_STEP_CHECKPOINTS))
     v.lost_ms = (double)coord_estimate_ms (c, run->task->step)
                 * run->progress_percent / 100.0;
   v.expected_speed = 1.0;
+  /* The cheap bounds first: a forecast looks at all runs of the instance. */
+  if (!hk_relocation_pays (&v))
+    return FALSE;
+  coord_best_effort_expect_run (c, run, &here);
+  v.expected_here = here.expected_speed;
   if (!hk_relocation_pays (&v))
     return FALSE;
   to = find_target (c, run, &v.expected_speed, now);
   if (!to || !hk_relocation_pays (&v))
     return FALSE;
   ((struct coord_link *)to->link)->target_ms = now;
-  hk_log (
-      HK_LOG_INFO, "share", run->instance->name, run->task->step->job->spec.id,
-      "event=moved step=%u index=%u run=%u pace=%u percent=%u "
-      "slow_ms=%" G_GINT64_FORMAT " expected=%.2f",
-      run->task->step->index, run->task->index, run->number,
-      run->speed_percent, run->progress_percent, v.slow_ms, v.expected_speed);
+  hk_log (HK_LOG_INFO, "share", run->instance->name,
+          run->task->step->job->spec.id,
+          "event=moved step=%u index=%u run=%u pace=%u percent=%u "
+          "slow_ms=%" G_GINT64_FORMAT " expected=%.2f here=%.2f placed=%.2f",
+          run->task->step->index, run->task->index, run->number,
+          run->speed_percent, run->progress_percent, v.slow_ms,
+          v.expected_speed, v.expected_here, run->expected_speed);
   hk_engine_run_stop (run);
   return TRUE;
 }
--- a/src/coord/coord_sharing.c
+++ b/src/coord/coord_sharing.c
@@ -176,14 +176,32 @@
     }
 }
 
-/* Sums the headroom that a service image loses to the best-effort runs, those
-   not started yet included. @before is the part of those that interfere no
-   more than a new one with @loss: the agent throttles these last. */
+/* A best-effort task on an instance, for which a speed is predicted. */
+struct subject
+{
+  struct coord_best_effort_load load;
+  gboolean counted; /* it is one of the runs there */
+  double total_milli;
+};
+
+static gboolean
+is_subject (const struct subject *subject,
+            const struct coord_best_effort_load *row)
+{
+  return row->image == subject->load.image
+         && row->cpu_milli == subject->load.cpu_milli;
+}
+
+/* Sums the headroom that a service image loses to the other best-effort runs,
+   those not started yet included. @before is the part of those that interfere
+   no more than the subject with @loss: the agent throttles these last. */
 static void
 sum_losses (const struct hk_coord *c, const struct coord_sharing *s,
-            unsigned service, double total_milli, double loss, double *before,
-            double *all)
+            unsigned service, const struct subject *subject, double loss,
+            double *before, double *all)
 {
+  gboolean skip = subject->counted;
+
   *before = 0;
   *all = 0;
   for (guint i = 0; i < s->best_effort->len; i++)
@@ -192,8 +210,13 @@
           = &g_array_index (s->best_effort, struct coord_best_effort_load, i);
       double other_loss = hk_interference_model_at (&c->interference_model,
                                                     service, row->image)
-                          * row->cpu_milli / total_milli;
+                          * row->cpu_milli / subject->total_milli;
 
+      if (skip && is_subject (subject, row))
+        {
+          skip = FALSE;
+          continue;
+        }
       *all += other_loss;
       if (other_loss <= loss)
         *before += other_loss;
@@ -221,11 +244,12 @@
 
 static void
 view_service_image (const struct hk_coord *c, const struct coord_sharing *s,
-                    const struct coord_service_image *row, unsigned image,
-                    double total_milli, unsigned cpu_milli, double *speed,
+                    const struct coord_service_image *row,
+                    const struct subject *subject, double *speed,
                     struct hk_job_place_view *v)
 {
   struct hk_headroom_use use = { .limit = headroom_limit (row) };
+  unsigned image = subject->load.image;
   double before;
 
   if (!hk_interference_model_observed (&c->interference_model, row->image,
@@ -233,8 +257,8 @@
     v->unknown_pairs++;
   use.added
       = hk_interference_model_at (&c->interference_model, row->image, image)
-        * cpu_milli / total_milli;
-  sum_losses (c, s, row->image, total_milli, use.added, &before, &use.taken);
+        * subject->load.cpu_milli / subject->total_milli;
+  sum_losses (c, s, row->image, subject, use.added, &before, &use.taken);
   for (int k = 0; k < COORD_HORIZONS; k++)
     speed[k] = MIN (speed[k], hk_throttle_expected_speed (row->headroom[k],
                                                           before, use.added));
@@ -242,26 +266,14 @@
     view_use (v, &use);
 }
 
-/* Predicts what a best-effort task would take on an instance, and what share
-   of its full speed it would have: the mean over the horizons. */
-void
-coord_best_effort_expect (struct hk_coord *c, const struct hk_instance *in,
-                          struct hk_engine_step *step,
-                          struct hk_job_place_view *v)
+static void
+expect_speed (struct hk_coord *c, const struct hk_instance *in,
+              struct subject subject, struct hk_job_place_view *v)
 {
-  unsigned image = coord_step_image (c, step);
   const struct coord_sharing *s = coord_sharing_of (c, in);
-  unsigned cpu_milli = step->spec->cpu_milli;
-  struct hk_headroom_use cpus
-      = { .limit
-          = (double)(v->best_effort_free_milli + in->best_effort_cpu_milli),
-          .taken = (double)in->best_effort_cpu_milli,
-          .added = (double)cpu_milli };
   double speed[COORD_HORIZONS];
 
-  v->headroom_usage = 0;
-  v->unknown_pairs = 0;
-  v->headroom_cost = hk_headroom_cost (&cpus);
+  subject.total_milli = (double)MAX (in->cpu_milli, 1);
   for (int k = 0; k < COORD_HORIZONS; k++)
     speed[k] = 1.0;
   for (guint i = 0; s->services && i < s->services->len; i++)
@@ -270,8 +282,7 @@
           = &g_array_index (s->services, struct coord_service_image, i);
 
       if (row->sampled)
-        view_service_image (c, s, row, image, (double)MAX (in->cpu_milli, 1),
-                            cpu_milli, speed, v);
+        view_service_image (c, s, row, &subject, speed, v);
     }
   v->expected_speed = 0;
   v->first_speed = s->saturated ? 0 : speed[0];
@@ -280,3 +291,37 @@
   for (int k = 0; k < COORD_HORIZONS; k++)
     v->expected_speed += speed[k] / COORD_HORIZONS;
 }
+
+/* Predicts what a best-effort task would take on an instance, and what share
+   of its full speed it would have: the mean over the horizons. */
+void
+coord_best_effort_expect (struct hk_coord *c, const struct hk_instance *in,
+                          struct hk_engine_step *step,
+                          struct hk_job_place_view *v)
+{
+  unsigned cpu_milli = step->spec->cpu_milli;
+  struct subject subject = { .load = { .image = coord_step_image (c, step),
+                                       .cpu_milli = cpu_milli } };
+  struct hk_headroom_use cpus
+      = { .limit
+          = (double)(v->best_effort_free_milli + in->best_effort_cpu_milli),
+          .taken = (double)in->best_effort_cpu_milli,
+          .added = (double)cpu_milli };
+
+  v->headroom_usage = 0;
+  v->unknown_pairs = 0;
+  v->headroom_cost = hk_headroom_cost (&cpus);
+  expect_speed (c, in, subject, v);
+}
+
+void
+coord_best_effort_expect_run (struct hk_coord *c, const struct hk_run *run,
+                              struct hk_job_place_view *v)
+{
+  struct hk_engine_step *step = run->task->step;
+  struct subject subject = { .load = { .image = coord_step_image (c, step),
+                                       .cpu_milli = step->spec->cpu_milli },
+                             .counted = !run->to_stop };
+
+  expect_speed (c, run->instance, subject, v);
+}
--- a/tests/coord/test_sharing.c
+++ b/tests/coord/test_sharing.c
@@ -253,6 +253,39 @@
   hk_coord_free (c);
 }
 
+/* The forecast for a run where it is must not count the run beside itself: it
+   would look throttled by its own interference, and would be relocated. */
+static void
+runs_do_not_count_beside_themselves (void)
+{
+  struct hk_coord *c = coord_new ();
+  struct hk_instance *in = instance_new (c);
+  struct hk_engine_job *job = submit (c, 1);
+  struct hk_job_place_view v = { 0 };
+  struct hk_run *service;
+  struct hk_run *run;
+
+  job->spec.steps.steps_val[0].flags = HK_STEP_SERVICE;
+  job->spec.steps.steps_val[0].target_ms = 18;
+  for (unsigned i = 1; i < 3; i++)
+    job->spec.steps.steps_val[i].cpu_milli = 6400;
+  service = hk_engine_task_place (&job->steps[0].tasks[0], in, 1);
+  service->started_ms = 1;
+  service->sampled_ms = 2000;
+  service->headroom = 1.48;
+  run = hk_engine_task_place (&job->steps[1].tasks[0], in, 1);
+  /* Each costs 0.15 of the 0.2 above the throttling target. */
+  coord_best_effort_expect_run (c, run, &v);
+  g_assert_cmpfloat (v.expected_speed, >, 0.99);
+  coord_best_effort_expect (c, in, &job->steps[1], &v);
+  g_assert_cmpfloat (v.expected_speed, <, 0.5);
+  hk_engine_task_place (&job->steps[2].tasks[0], in, 1);
+  coord_best_effort_expect_run (c, run, &v);
+  g_assert_cmpfloat (v.expected_speed, <, 0.5);
+  instance_release (in);
+  hk_coord_free (c);
+}
+
 /* The calibration of expected speeds compares them with these figures: time at
    each speed counts up to the end, and a period of speed 0 counts once however
    many reports show it. */
@@ -308,6 +341,8 @@
   g_test_add_func (
       "/sharing/nothing_is_expected_to_run_beside_a_saturated_queue",
       nothing_is_expected_to_run_beside_a_saturated_queue);
+  g_test_add_func ("/sharing/runs_do_not_count_beside_themselves",
+                   runs_do_not_count_beside_themselves);
   g_test_add_func ("/sharing/speeds_over_the_life_of_a_run_are_described",
                    speeds_over_the_life_of_a_run_are_described);
   return g_test_run ();
--- a/tests/unit/test_backlog.c
+++ b/tests/unit/test_backlog.c
@@ -94,6 +94,28 @@
   g_assert_false (hk_relocation_pays (&nowhere));
 }
 
+/* Guards against relocation at the first dip of a noisy sample: a stop and a
+   restore cost more than such a dip. A forecast that stays wrong, as of a pair
+   of images that interferes more than is known, holds no run for long. */
+static void
+runs_that_will_recover_stay_for_a_while (void)
+{
+  struct hk_relocation_view v = run_at (0, 1600);
+
+  v.slow_ms = 500;
+  g_assert_true (hk_relocation_pays (&v));
+  v.expected_here = 0.4;
+  g_assert_true (hk_relocation_pays (&v));
+  v.expected_here = 1.0;
+  g_assert_false (hk_relocation_pays (&v));
+  v.slow_ms = 1500;
+  g_assert_false (hk_relocation_pays (&v));
+  v.slow_ms = 2500;
+  g_assert_true (hk_relocation_pays (&v));
+  v.slow_ms = 60000;
+  g_assert_true (hk_relocation_pays (&v));
+}
+
 /* Load that swings by half in ten seconds, with samples three times a second
    whose noise is a quarter of the swing. */
 #define SWING_PERIOD_MS 10000
@@ -219,6 +241,8 @@
                    longer_backlogs_are_retried_less_often);
   g_test_add_func ("/backlog/runs_that_stand_still_are_relocated",
                    runs_that_stand_still_are_relocated);
+  g_test_add_func ("/backlog/runs_that_will_recover_stay_for_a_while",
+                   runs_that_will_recover_stay_for_a_while);
   g_test_add_func ("/backlog/load_is_predicted_while_it_swings",
                    load_is_predicted_while_it_swings);
   g_test_add_func ("/backlog/prediction_stays_within_what_was_seen",
