Place tasks near their data, and let them wait for that

The rack that a step names for its data was decoded and unused, so a task was placed wherever capacity was free and often took `factor' times as long.

A pass prefers slots on the rack of the data. A task for which none is free is put off until the tasks of its urgency and class have been tried; then those that gain most queue for the slots that ends of runs will free, and the others are placed elsewhere, those that gain least first. The slots of a rack are computed at most once a pass. Tasks without data avoid a rack that others wait for where another slot is as good.

A task waits for 1.2 s at most, before its first run only, and counted from the time at which it became ready while nothing of its job runs. Tasks that were loaded at a takeover, starving tasks, and tasks while commits fail do not wait. A task that waits does not count as one that fitted nowhere. Steps without a rack, or with one that no instance is on, take the same path as before.

Each wait and each placement of such a task writes a line (near_wait, near_decided); counters and a histogram of waits are exported. The factor is an option of the coordinator; nothing sets it yet, and without it near slots are preferred only.

tests/coord/test_locality.c replays passes. With coord_rack_of() and coord_is_near() made to find no rack, which is the previous behavior, nine of its twelve tests fail: free_slots_near_the_data_are_preferred, tasks_wait_where_a_run_ends_soon, waits_are_limited, restarted_tasks_do_not_wait, waits_end_with_the_rack, waits_go_on_with_part_of_the_rack, urgent_tasks_take_near_slots_first, tasks_that_gain_least_are_placed_elsewhere, tasks_without_data_avoid_contested_racks. The other three guard behavior that must not change.

--- a/bench/passes.c
+++ b/bench/passes.c
@@ -2,7 +2,9 @@
    run under callgrind. In each round the same number of runs end, instances
    report and jobs are submitted, whatever the size of the site, so that the
    cost that depends on the size shows.
-   Usage: passes INSTANCES JOBS ROUNDS */
+   With racks, every second best-effort job has its data on one of them, and
+   runs away from it take twice as long.
+   Usage: passes INSTANCES JOBS ROUNDS [RACKS] */
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -26,6 +28,7 @@
   GRand *random;
   int64_t now_ms;
   unsigned n_submitted;
+  unsigned n_racks;
   GPtrArray *instances;
 };
 
@@ -37,6 +40,10 @@
       "%s%d", service ? "service" : "batch",
       g_rand_int_range (s->random, 0,
                         service ? SERVICE_IMAGES : BEST_EFFORT_IMAGES));
+  g_autofree char *rack
+      = s->n_racks > 0 && !service && s->n_submitted % 2
+            ? g_strdup_printf ("r%u", s->n_submitted / 2 % s->n_racks)
+            : g_strdup ("");
   u_int first = 0;
   hk_step_spec steps[2]
       = { { .count = service ? SERVICE_TASKS : BEST_EFFORT_TASKS,
@@ -47,7 +54,7 @@
                              : HK_STEP_BEST_EFFORT | HK_STEP_CHECKPOINTS,
             .target_ms = service ? 18 : 0,
             .label = (char *)"",
-            .rack = (char *)"",
+            .rack = rack,
             .image = image } };
   hk_job_spec spec = { .id = id,
                        .queue = (char *)(service ? "watch" : "batch"),
@@ -111,6 +118,12 @@
       l->described = TRUE;
       in->link = l;
       in->pool = g_strdup ("pool");
+      if (s->n_racks > 0)
+        {
+          g_autofree char *labels = g_strdup_printf ("a,r%u", i % s->n_racks);
+
+          in->labels = g_strsplit (labels, ",", 0);
+        }
       in->cpu_milli = 64000;
       in->memory_mb = 256000;
       in->capacity_known = TRUE;
@@ -196,6 +209,8 @@
 
   options.name = "passes";
   options.address = "127.0.0.1:1";
+  s.n_racks = argc > 4 ? (unsigned)atoi (argv[4]) : 0;
+  options.remote_factor = s.n_racks > 0 ? 2 : 0;
   s.c = hk_coord_new (NULL, &options);
   s.c->state = COORD_LEADING;
   s.c->taken_over_ms = s.now_ms - 60000;
--- a/include/hyssopkeel/coord.h
+++ b/include/hyssopkeel/coord.h
@@ -18,6 +18,9 @@
  * @capacity_score_percent: capacity score: processor and bandwidth of this
  * machine relative to what a coordinator should have, percent; values above
  * 100 count as 100. The machine with the higher score leads.
+ * @remote_factor: run time of a task away from the rack of its data over its
+ * run time there; 0 if unknown: it is learned then, and until it is known no
+ * task waits for that rack.
  */
 struct hk_coord_options
 {
@@ -27,6 +30,7 @@
   int64_t keep_ended_ms;
   size_t record_max_bytes;
   unsigned capacity_score_percent;
+  double remote_factor;
 };
 
 #define HK_COORD_OPTIONS_INIT                                                 \
--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -133,6 +133,10 @@
  *                 another cause; 0 if it is not.
  * @reserved_until_ms: it waits until then for an instance that is kept free of
  *                     other starts.
+ * @near_wait_since_ms: time at which it was first kept waiting for a slot near
+ *                      its data; of an earlier wait if before @ready_ms. Owned
+ *                      by the coordinator, like @near_wait_expected_ms.
+ * @near_wait_expected_ms: wait that was expected then.
  * @runs: runs that may be executing; more than one only if the step is
  *        speculative.
  */
@@ -149,6 +153,8 @@
   struct hk_crash_history crash;
   int64_t give_up_at_ms;
   int64_t reserved_until_ms;
+  int64_t near_wait_since_ms;
+  int64_t near_wait_expected_ms;
   struct hk_run *runs[HK_RUNS_PER_TASK];
 };
 
@@ -204,6 +210,8 @@
  * @steps: one for each step of @spec.
  * @run_time_ratio_sum: sum of measured over declared run time, of
  *                      @run_time_samples finished runs.
+ * @near_ratio_sum: the same of runs near their data, of @near_samples runs.
+ * @near_samples: finished runs in @near_ratio_sum.
  * @order: input of the job order, as computed at @order_ms for
  *         @order_version; owned by the coordinator.
  * @order_ms: time at which @order was computed.
@@ -243,6 +251,8 @@
   struct hk_engine_step *steps;
   double run_time_ratio_sum;
   unsigned run_time_samples;
+  double near_ratio_sum;
+  unsigned near_samples;
   struct hk_order_view order;
   int64_t order_ms;
   uint64_t order_version;
@@ -292,6 +302,8 @@
  * @suspect_until_ms: time at which @failure_rate and @run_time_ratio expire.
  * @refusals: starts refused in a row, those within a pause counted once.
  * @refused_until_ms: no new runs before this time, as a start was refused.
+ * @near_wanted_until_ms: until then tasks with data on its rack are taken to
+ *                        wait for its slots; owned by the coordinator.
  * @runs: runs placed here whose end has not been seen.
  * @changes: rises with each change of @runs and each report.
  * @link: connection state, owned by the coordinator.
@@ -334,6 +346,7 @@
   int64_t suspect_until_ms;
   unsigned refusals;
   int64_t refused_until_ms;
+  int64_t near_wanted_until_ms;
   LIST_HEAD (, hk_run) runs;
   uint64_t changes;
   void *link;
--- a/include/hyssopkeel/job_placement.h
+++ b/include/hyssopkeel/job_placement.h
@@ -51,6 +51,9 @@
  * @run_time_ratio: learned run times there over the usual ones; 1 is usual.
  * @failure_rate: fraction of recent runs there that failed, 0 to 1.
  * @has_suspect: a run there may crash the endpoint.
+ * @near: it is on the rack that holds the data of the task.
+ * @contested: tasks wait for slots there that are near their data, and the
+ *             task has no data there.
  * @usable: in service, and with the pool and labels that the task requires.
  */
 struct hk_job_place_view
@@ -71,6 +74,8 @@
   double run_time_ratio;
   double failure_rate;
   gboolean has_suspect;
+  gboolean near;
+  gboolean contested;
   gboolean usable;
 };
 
--- a/include/hyssopkeel/locality.h
+++ b/include/hyssopkeel/locality.h
@@ -13,6 +13,29 @@
  */
 #define HK_LOCALITY_SLOTS_MAX 512
 
+/**
+ * struct hk_locality_factor - run time away from the data over run time near
+ *                             it, as configured and learned.
+ * @prior: configured factor; 0 if unknown.
+ * @value: moving average, starts with @prior.
+ * @samples: observed factors.
+ */
+struct hk_locality_factor
+{
+  double prior;
+  double value;
+  unsigned samples;
+};
+
+/** hk_locality_factor_init() - no observations; @prior is 0 if unknown. */
+void hk_locality_factor_init (struct hk_locality_factor *f, double prior);
+
+/** hk_locality_factor_learn() - add an observed factor. */
+void hk_locality_factor_learn (struct hk_locality_factor *f, double sample);
+
+/** hk_locality_factor_value() - the factor; 0 if it is unknown. */
+double hk_locality_factor_value (const struct hk_locality_factor *f);
+
 /**
  * struct hk_locality_slots - when the slots of a rack become free, as a
  * min-heap.
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -146,6 +146,7 @@
   coord_commit_init (c);
   coord_estimates_init (c);
   hk_interference_model_init (&c->interference_model);
+  coord_locality_init (&c->locality, options->remote_factor);
   return c;
 }
 
@@ -199,6 +200,7 @@
   g_hash_table_unref (c->estimates);
   g_hash_table_unref (c->mean_work);
   hk_interference_model_finish (&c->interference_model);
+  coord_locality_finish (&c->locality);
   g_free (c->name);
   g_free (c->address);
   c->closed = TRUE;
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -18,6 +18,8 @@
 #include "hyssopkeel/rpc_server.h"
 #include "hyssopkeel/timer.h"
 
+#include "coord_locality.h"
+
 /* Below this headroom the request queue of a service task is saturated. */
 #define COORD_HEADROOM_SATURATED 0.85
 /* Times ahead at which the speed of a best-effort task is predicted; they
@@ -230,6 +232,7 @@
   int64_t round_began_ms;
   gboolean round_open; /* the last pass ended at its budget */
   struct hk_interference_model interference_model;
+  struct coord_locality locality;
   LIST_HEAD (, coord_request) requests;
   gboolean ends_requests; /* no further attempts; see hk_coord_end_requests */
 
@@ -252,6 +255,8 @@
   double used_cpu_milli; /* of those in touch, without best-effort runs */
   double cpu_milli;      /* of all instances */
   struct hk_pass_failures failures;
+  GArray *deferred;        /* see coord_locality_defer(); NULL if none */
+  struct coord_rack *rack; /* that holds the data of the step; or NULL */
   struct hk_job_place_need need;
   struct hk_job_place_view *views;
   struct hk_instance **instances;
@@ -335,6 +340,9 @@
 
 /* coord_schedule.c */
 void coord_schedule (struct hk_coord *c, int64_t now);
+void coord_pass_failed (struct coord_pass *p, struct hk_engine_step *step);
+gboolean coord_pass_covers (const struct coord_pass *p,
+                            const struct hk_engine_step *step);
 
 /* coord_candidates.c */
 void coord_pass_init (struct coord_pass *p, struct hk_coord *c, int64_t now);
@@ -342,6 +350,8 @@
 void coord_pass_begin_step (struct coord_pass *p,
                             const struct hk_engine_task *task);
 gboolean coord_pass_place (struct coord_pass *p, struct hk_engine_task *task);
+int coord_pass_best (struct coord_pass *p, const struct hk_engine_task *task);
+gboolean coord_has_label (const struct hk_instance *in, const char *label);
 /* Whether the task, of the step that was begun, fits an instance now, whatever
    suspects run there. */
 gboolean coord_pass_fits (struct coord_pass *p,
@@ -432,6 +442,8 @@
                            hk_end_how how, int64_t now);
 int64_t coord_estimate_ms (struct hk_coord *c,
                            const struct hk_engine_step *step);
+/* The same of a run, which takes longer away from its data. */
+int64_t coord_estimate_run_ms (struct hk_coord *c, const struct hk_run *run);
 double coord_best_effort_cores (struct hk_coord *c);
 gboolean coord_admit (struct hk_coord *c, const hk_job_spec *spec,
                       unsigned *retry_after_s, const char **reason);
--- a/src/coord/coord_candidates.c
+++ b/src/coord/coord_candidates.c
@@ -23,8 +23,8 @@
    share of its full speed. */
 #define MOVE_SPEED_SHARE_MIN 0.85
 
-static gboolean
-has_label (const struct hk_instance *in, const char *label)
+gboolean
+coord_has_label (const struct hk_instance *in, const char *label)
 {
   return !label || !*label
          || (in->labels
@@ -94,7 +94,7 @@
   if (in->draining || in->leaving)
     return COORD_WAIT_DRAINING;
   if (strcmp (in->pool, step->job->spec.pool) != 0
-      || !has_label (in, step->spec->label))
+      || !coord_has_label (in, step->spec->label))
     return COORD_WAIT_MISMATCH;
   return in->refused_until_ms > now ? COORD_WAIT_PAUSED : COORD_WAIT_NONE;
 }
@@ -127,6 +127,7 @@
   v->run_time_ratio = in->run_time_ratio;
   v->failure_rate = in->failure_rate;
   v->has_suspect = in->n_watched > 0;
+  coord_view_locality (v, in, step, now);
   view_interference (c, v, in, step);
   if (step->spec->per_instance_max > 0)
     v->same_step = count_step_runs (in, step);
@@ -285,7 +286,20 @@
          && share < STARVING_CPU_SHARE_MAX;
 }
 
-/* Candidates are taken in turn if there are more than a pass may look at. */
+static void
+add_candidate (struct coord_pass *p, const struct hk_engine_task *task,
+               struct hk_instance *in)
+{
+  if (has_run_on (task, in) || !coord_accepts_runs (in, task->step, p->now)
+      || !coord_crash_admits (in, task, p->now))
+    return;
+  p->views[p->n] = (struct hk_job_place_view){ 0 };
+  view_instance (p->c, &p->views[p->n], in, task->step, p->now);
+  p->instances[p->n++] = in;
+}
+
+/* Candidates are those near the data first. The others are taken in turn if
+   there are more than a pass may look at. */
 static void
 collect_candidates (struct coord_pass *p, const struct hk_engine_task *task)
 {
@@ -293,17 +307,15 @@
   struct hk_instance *first
       = e->cursor ? e->cursor : TAILQ_FIRST (&e->instance_list);
   struct hk_instance *in = first;
+  guint n_near = p->rack ? p->rack->instances->len : 0;
 
   p->n = 0;
+  for (guint i = 0; i < n_near && p->n < HK_PASS_CANDIDATES_MAX; i++)
+    add_candidate (p, task, p->rack->instances->pdata[i]);
   while (in && p->n < HK_PASS_CANDIDATES_MAX)
     {
-      if (!has_run_on (task, in) && coord_accepts_runs (in, task->step, p->now)
-          && coord_crash_admits (in, task, p->now))
-        {
-          p->views[p->n] = (struct hk_job_place_view){ 0 };
-          view_instance (p->c, &p->views[p->n], in, task->step, p->now);
-          p->instances[p->n++] = in;
-        }
+      if (!p->rack || !coord_is_near (in, task->step))
+        add_candidate (p, task, in);
       in = TAILQ_NEXT (in, next);
       if (!in)
         in = TAILQ_FIRST (&e->instance_list);
@@ -341,15 +353,16 @@
 {
   p->need = coord_place_need (task->step);
   p->need.starving = is_starving (p, task);
+  p->rack = coord_rack_of (p->c, task->step);
   collect_candidates (p, task);
   for (unsigned i = 0; i < p->n; i++)
     score_candidate (p, i);
 }
 
-/* Places a task of the step on the best candidate. Returns FALSE if the task
-   fits nowhere now. */
-gboolean
-coord_pass_place (struct coord_pass *p, struct hk_engine_task *task)
+/* Index of the best candidate for a task of the step, or -1 if the task fits
+   nowhere now. */
+int
+coord_pass_best (struct coord_pass *p, const struct hk_engine_task *task)
 {
   gboolean starving = is_starving (p, task);
   unsigned best = 0;
@@ -363,15 +376,26 @@
   for (unsigned i = 1; i < p->n; i++)
     if (p->scores[i] > p->scores[best])
       best = i;
-  if (p->n == 0 || isinf (p->scores[best]))
+  return p->n == 0 || isinf (p->scores[best]) ? -1 : (int)best;
+}
+
+/* Places a task of the step on the best candidate. Returns FALSE if the task
+   fits nowhere now. */
+gboolean
+coord_pass_place (struct coord_pass *p, struct hk_engine_task *task)
+{
+  int best = coord_pass_best (p, task);
+
+  if (best < 0)
     return FALSE;
+  coord_locality_placed (p, task, p->instances[best]);
   hk_engine_task_place (task, p->instances[best], p->now);
   if (!p->need.best_effort)
     p->used_cpu_milli += p->need.cpu_milli;
   p->views[best] = (struct hk_job_place_view){ 0 };
   view_instance (p->c, &p->views[best], p->instances[best], task->step,
                  p->now);
-  score_candidate (p, best);
+  score_candidate (p, (unsigned)best);
   return TRUE;
 }
 
--- a/src/coord/coord_describe.c
+++ b/src/coord/coord_describe.c
@@ -19,8 +19,8 @@
              || in->accelerators != args->accelerators);
 }
 
-/* A new incarnation may have other labels. */
-static void
+/* A new incarnation may have other labels. Returns whether they changed. */
+static gboolean
 labels_update (struct hk_instance *in, const hk_sync_args *args)
 {
   u_int n = args->labels.labels_len;
@@ -30,13 +30,14 @@
   for (u_int i = 0; same && i < n; i++)
     same = strcmp (in->labels[i], args->labels.labels_val[i].text) == 0;
   if (same)
-    return;
+    return FALSE;
   list = g_ptr_array_new ();
   for (u_int i = 0; i < n; i++)
     g_ptr_array_add (list, g_strdup (args->labels.labels_val[i].text));
   g_ptr_array_add (list, NULL);
   g_strfreev (in->labels);
   in->labels = (char **)g_ptr_array_free (list, FALSE);
+  return TRUE;
 }
 
 gboolean
@@ -72,6 +73,7 @@
   in->cpu_milli = args->cpu_milli;
   in->memory_mb = args->memory_mb;
   in->accelerators = args->accelerators;
-  labels_update (in, args);
+  if (labels_update (in, args) && in->link)
+    coord_locality_labels_changed (((struct coord_link *)in->link)->c);
   return changed;
 }
--- a/src/coord/coord_estimate.c
+++ b/src/coord/coord_estimate.c
@@ -61,6 +61,15 @@
   return e ? (int64_t)(declared * e->ratio) : step->spec->estimate_ms;
 }
 
+int64_t
+coord_estimate_run_ms (struct hk_coord *c, const struct hk_run *run)
+{
+  double slowdown = coord_run_slowdown (c, run);
+
+  return (int64_t)((double)coord_estimate_ms (c, run->task->step)
+                   * (slowdown > 0 ? slowdown : 1.0));
+}
+
 static void
 learn_ratio (struct hk_coord *c, struct hk_engine_job *job, double ratio)
 {
--- a/src/coord/coord_lead.c
+++ b/src/coord/coord_lead.c
@@ -290,6 +290,7 @@
   c->state = COORD_FOLLOWING;
   coord_links_drop (c);
   waiters_drop_all (c);
+  coord_locality_clear (&c->locality);
   hk_engine_finish (&c->engine);
   coord_engine_init (c);
   coord_commit_finish (c);
--- a/src/coord/coord_schedule.c
+++ b/src/coord/coord_schedule.c
@@ -41,6 +41,8 @@
       if (!begun)
         coord_pass_begin_step (p, task);
       begun = TRUE;
+      if (coord_locality_defer (p, task))
+        continue;
       if (!coord_pass_place (p, task))
         return FALSE;
       p->n_placed++;
@@ -74,6 +76,42 @@
       place_suspects (p, &job->steps[i]);
 }
 
+static struct hk_pass_failure
+step_need (const struct hk_engine_step *step)
+{
+  const hk_step_spec *spec = step->spec;
+
+  return (struct hk_pass_failure){ .pool = step->job->spec.pool,
+                                   .label = spec->label ? spec->label : "",
+                                   .cpu_milli = spec->cpu_milli,
+                                   .memory_mb = spec->memory_mb,
+                                   .accelerators = spec->accelerators };
+}
+
+/* Remembers that a task of the step fitted nowhere. */
+void
+coord_pass_failed (struct coord_pass *p, struct hk_engine_step *step)
+{
+  struct hk_pass_failure need = step_need (step);
+
+  if (step->spec->flags & HK_STEP_BEST_EFFORT)
+    step->placement_failed_ms = p->now;
+  else if (step->spec->per_instance_max == 0)
+    hk_pass_failures_add (&p->failures, &need);
+}
+
+/* Whether tasks of the step fit nowhere, as one with a smaller need did not.
+ */
+gboolean
+coord_pass_covers (const struct coord_pass *p,
+                   const struct hk_engine_step *step)
+{
+  struct hk_pass_failure need = step_need (step);
+
+  return !(step->spec->flags & HK_STEP_BEST_EFFORT)
+         && hk_pass_failures_cover (&p->failures, &need);
+}
+
 static void
 schedule_best_effort (struct coord_pass *p, struct hk_engine_step *step)
 {
@@ -87,28 +125,16 @@
     }
   p->n_steps++;
   if (!place_step (p, step))
-    step->placement_failed_ms = p->now;
+    coord_pass_failed (p, step);
 }
 
 static void
 schedule_step (struct coord_pass *p, struct hk_engine_step *step)
 {
-  const hk_step_spec *spec = step->spec;
-  struct hk_pass_failure need = { .pool = step->job->spec.pool,
-                                  .label = spec->label ? spec->label : "",
-                                  .cpu_milli = spec->cpu_milli,
-                                  .memory_mb = spec->memory_mb,
-                                  .accelerators = spec->accelerators };
-
-  if (spec->flags & HK_STEP_BEST_EFFORT)
-    {
-      schedule_best_effort (p, step);
-      return;
-    }
-  if (hk_pass_failures_cover (&p->failures, &need))
-    return;
-  if (!place_step (p, step) && spec->per_instance_max == 0)
-    hk_pass_failures_add (&p->failures, &need);
+  if (step->spec->flags & HK_STEP_BEST_EFFORT)
+    schedule_best_effort (p, step);
+  else if (!coord_pass_covers (p, step) && !place_step (p, step))
+    coord_pass_failed (p, step);
 }
 
 static void
@@ -123,6 +149,30 @@
     }
 }
 
+/* Tasks that were put off are decided before those of the next urgency, so
+   that only tasks of the same urgency are exchanged. */
+static void
+schedule_jobs (struct coord_pass *p, const GArray *list)
+{
+  const struct candidate *previous = NULL;
+
+  for (guint i = 0; i < list->len; i++)
+    {
+      const struct candidate *cand
+          = &g_array_index (list, struct candidate, i);
+
+      if (!cand->waiting)
+        continue;
+      if (previous
+          && (previous->job->spec.urgency != cand->job->spec.urgency
+              || previous->class != cand->class))
+        coord_locality_flush (p);
+      schedule_job (p, cand->job);
+      previous = cand;
+    }
+  coord_locality_flush (p);
+}
+
 static int
 compare_order_keys (const void *a, const void *b)
 {
@@ -224,6 +274,7 @@
   if (!c->round_open)
     c->round_began_ms = now;
   coord_pass_init (&pass, c, now);
+  c->locality.pass++;
   pass.retry_ms = hk_pass_retry_ms (collect_jobs (c, list, now));
   qsort (list->data, list->len, sizeof (struct candidate), compare_order_keys);
   rank_best_effort (c, list);
@@ -236,14 +287,7 @@
       if (cand->waiting)
         schedule_suspects (&pass, cand->job);
     }
-  for (guint i = 0; i < list->len; i++)
-    {
-      const struct candidate *cand
-          = &g_array_index (list, struct candidate, i);
-
-      if (cand->waiting)
-        schedule_job (&pass, cand->job);
-    }
+  schedule_jobs (&pass, list);
   c->round_open = pass.exhausted;
   if (pass.exhausted)
     coord_pass_schedule_in (c, HK_PASS_CONTINUE_MS);
--- a/src/policy/job_placement.c
+++ b/src/policy/job_placement.c
@@ -32,6 +32,27 @@
 /* A run time twice the usual costs as much as this fraction of the CPUs of the
    instance. */
 #define RUN_TIME_WEIGHT 0.5
+/* Preference for the rack of the data, above all others except reliability. A
+   service task runs until it is stopped and has no run time to save, so its
+   preference is below that for its image. */
+#define NEAR_BONUS 10.0
+#define NEAR_SERVICE_BONUS 0.5
+/* Tasks without data on a rack avoid the slots that others wait for where
+   another slot is as good: it may leave this much less of its CPUs free. A
+   best-effort task gives up this much of its speed. */
+#define CONTESTED_COST 0.5
+#define CONTESTED_BEST_EFFORT_COST 0.1
+
+static double
+locality_score (const struct hk_job_place_view *v,
+                const struct hk_job_place_need *need)
+{
+  if (v->near)
+    return need->is_service ? NEAR_SERVICE_BONUS : NEAR_BONUS;
+  if (v->contested)
+    return need->best_effort ? -CONTESTED_BEST_EFFORT_COST : -CONTESTED_COST;
+  return 0;
+}
 
 enum hk_job_place_obstacle
 hk_job_place_obstacle (const struct hk_job_place_view *v,
@@ -89,7 +110,7 @@
     score -= UNRELIABLE_PENALTY;
   if (v->has_suspect)
     score -= SUSPECT_PENALTY;
-  return score - v->failure_rate;
+  return score + locality_score (v, need) - v->failure_rate;
 }
 
 gboolean
--- a/src/policy/locality.c
+++ b/src/policy/locality.c
@@ -6,6 +6,12 @@
 
 #include <math.h>
 
+/* Weight of an observed factor in the moving average. */
+#define FACTOR_WEIGHT 0.05
+/* Observed factors are limited to this, as a run may stall. */
+#define FACTOR_MAX 10.0
+/* Without a configured factor, these many must have been observed. */
+#define FACTOR_SAMPLES_MIN 8
 /* Shortest expected time until a run ends. */
 #define LEFT_MIN_MS 20.0
 /* Reported progress below this is too coarse to extrapolate from. */
@@ -23,6 +29,29 @@
 /* Shortest pause until a decision is due again. */
 #define RECHECK_MIN_MS 10
 
+void
+hk_locality_factor_init (struct hk_locality_factor *f, double prior)
+{
+  *f = (struct hk_locality_factor){ .prior = prior, .value = prior };
+}
+
+void
+hk_locality_factor_learn (struct hk_locality_factor *f, double sample)
+{
+  double weight = FACTOR_WEIGHT;
+
+  f->samples++;
+  if (f->prior <= 0)
+    weight = MAX (weight, 1.0 / f->samples);
+  f->value += weight * (CLAMP (sample, 1.0, FACTOR_MAX) - f->value);
+}
+
+double
+hk_locality_factor_value (const struct hk_locality_factor *f)
+{
+  return f->prior > 0 || f->samples >= FACTOR_SAMPLES_MIN ? f->value : 0;
+}
+
 double
 hk_locality_left_ms (double expected_ms, double elapsed_ms, unsigned percent)
 {
