Learn run times and the factor of runs away from their data

A run away from its data takes `factor' times as long, so its instance and its queue looked slow, and the run itself like a straggler.

Learned run times are divided by the factor for such runs; expected run times are multiplied by it for stragglers, drains, relocations and the remaining critical path. A relocation compares speeds including the factor. The factor is learned from the ratio of such a run to runs near their data, of the same job or else of its queue; a configured factor is the prior. While it is unknown, run times are not learned from such runs and they do not count as lagging; runs without progress are handled as before. The objective of a job stays that of runs near the data.

With coord_rack_of() and coord_is_near() made to find no rack, the tests remote_runs_do_not_look_slow and factor_is_learned fail.

--- a/include/hyssopkeel/locality.h
+++ b/include/hyssopkeel/locality.h
@@ -30,7 +30,8 @@
 /** hk_locality_factor_init() - no observations; @prior is 0 if unknown. */
 void hk_locality_factor_init (struct hk_locality_factor *f, double prior);
 
-/** hk_locality_factor_learn() - add an observed factor. */
+/** hk_locality_factor_learn() - add an observed factor; without effect unless
+ * it is a positive number. */
 void hk_locality_factor_learn (struct hk_locality_factor *f, double sample);
 
 /** hk_locality_factor_value() - the factor; 0 if it is unknown. */
--- a/src/coord/coord_drain.c
+++ b/src/coord/coord_drain.c
@@ -28,7 +28,7 @@
 finishes_in_time (struct hk_coord *c, const struct hk_run *run,
                   int64_t remaining_ms)
 {
-  double needed_ms = (double)coord_estimate_ms (c, run->task->step)
+  double needed_ms = (double)coord_estimate_run_ms (c, run)
                      * (100.0 - run->progress_percent)
                      / MAX (run->speed_percent, 1);
 
--- a/src/coord/coord_estimate.c
+++ b/src/coord/coord_estimate.c
@@ -30,9 +30,16 @@
 #define ORDER_VIEW_AGE_MAX_MS 250
 #define ORDER_VIEW_IDLE_AGE_MAX_MS 2000
 
+/* Run times near the data of a queue are compared with others after this many
+   samples. */
+#define NEAR_SAMPLES_MIN 5
+
+/* Measured over declared run time, as if near the data. */
 struct estimate
 {
-  double ratio; /* measured run time over declared run time */
+  double ratio;
+  double near_ratio; /* of runs that were near their data, if they have any */
+  unsigned near_samples;
 };
 
 void
@@ -70,6 +77,35 @@
                    * (slowdown > 0 ? slowdown : 1.0));
 }
 
+static void
+learn_near_ratio (struct hk_coord *c, struct hk_engine_job *job, double ratio)
+{
+  struct estimate *e = g_hash_table_lookup (c->estimates, job->spec.queue);
+
+  job->near_ratio_sum += ratio;
+  job->near_samples++;
+  if (!e)
+    return;
+  if (e->near_samples++ == 0)
+    e->near_ratio = ratio;
+  e->near_ratio += QUEUE_SAMPLE_WEIGHT * (ratio - e->near_ratio);
+}
+
+/* A run away from its data shows the factor if the run times of others near
+   theirs are known: of the same job, or else of its queue. */
+static void
+learn_factor (struct hk_coord *c, const struct hk_engine_job *job,
+              double ratio)
+{
+  const struct estimate *e
+      = g_hash_table_lookup (c->estimates, job->spec.queue);
+
+  if (job->near_samples > 0)
+    coord_locality_learn (c, ratio * job->near_samples / job->near_ratio_sum);
+  else if (e && e->near_samples >= NEAR_SAMPLES_MIN)
+    coord_locality_learn (c, ratio / e->near_ratio);
+}
+
 static void
 learn_ratio (struct hk_coord *c, struct hk_engine_job *job, double ratio)
 {
@@ -103,6 +139,7 @@
   struct hk_instance *in = run->instance;
   double worked;
   double expected;
+  double slowdown;
 
   if (step->spec->flags & HK_STEP_SERVICE || !run->started_ms)
     return;
@@ -117,11 +154,35 @@
     return;
   worked = full_speed_ms (run, now);
   expected = (double)coord_estimate_ms (c, step);
+  slowdown = coord_run_slowdown (c, run);
+  if (coord_run_is_remote (c, run))
+    learn_factor (c, step->job, worked / step->spec->estimate_ms);
+  if (slowdown <= 0)
+    return;
+  worked /= slowdown;
   if (step->job->run_time_samples > 0 && expected > 0)
     in->run_time_ratio
         += INSTANCE_SAMPLE_WEIGHT
            * (MIN (worked / expected, 10.0) - in->run_time_ratio);
   learn_ratio (c, step->job, worked / step->spec->estimate_ms);
+  if (coord_rack_of (c, step) && !coord_run_is_remote (c, run))
+    learn_near_ratio (c, step->job, worked / step->spec->estimate_ms);
+}
+
+/* Longest expected run time of a task of the step, as far as they are placed.
+ */
+static int64_t
+placed_estimate_ms (struct hk_coord *c, const struct hk_engine_step *step)
+{
+  int64_t longest = coord_estimate_ms (c, step);
+
+  if (!coord_rack_of (c, step))
+    return longest;
+  for (unsigned t = 0; t < step->spec->count; t++)
+    if (step->tasks[t].state == HK_TASK_PLACED && step->tasks[t].runs[0])
+      longest
+          = MAX (longest, coord_estimate_run_ms (c, step->tasks[t].runs[0]));
+  return longest;
 }
 
 /* Critical path of the job in milliseconds: over all steps, or only over those
@@ -140,8 +201,10 @@
 
       for (unsigned k = 0; k < step->spec->after.after_len; k++)
         path_ms[i] = MAX (path_ms[i], path_ms[step->spec->after.after_val[k]]);
-      if (!pending_only || step->done < step->spec->count)
+      if (!pending_only)
         path_ms[i] += coord_estimate_ms (c, step);
+      else if (step->done < step->spec->count)
+        path_ms[i] += placed_estimate_ms (c, step);
       longest = MAX (longest, path_ms[i]);
     }
   return longest;
--- a/src/coord/coord_relocate.c
+++ b/src/coord/coord_relocate.c
@@ -14,7 +14,7 @@
 static double
 remaining_ms (struct hk_coord *c, const struct hk_run *run)
 {
-  return (double)coord_estimate_ms (c, run->task->step)
+  return (double)coord_estimate_run_ms (c, run)
          * (100.0 - MIN (run->progress_percent, 100)) / 100.0;
 }
 
@@ -37,9 +37,10 @@
     double score;
 
     if (in == run->instance || !l || l->target_ms == now
-        || !coord_task_fits (c, &v, in, run->task, now)
-        || v.expected_speed < SPEED_MIN
-        || !hk_job_place_score (&v, &need, &score)
+        || !coord_task_fits (c, &v, in, run->task, now))
+      continue;
+    v.expected_speed *= coord_move_speedup (c, run, in);
+    if (v.expected_speed < SPEED_MIN || !hk_job_place_score (&v, &need, &score)
         || (best && score <= best_score))
       continue;
     *speed = v.expected_speed;
@@ -59,8 +60,8 @@
   struct hk_instance *to;
 
   if (!(spec->flags & HK_STEP_CHECKPOINTS))
-    v.lost_ms = (double)coord_estimate_ms (c, run->task->step)
-                * run->progress_percent / 100.0;
+    v.lost_ms = (double)coord_estimate_run_ms (c, run) * run->progress_percent
+                / 100.0;
   v.expected_speed = 1.0;
   if (!hk_relocation_pays (&v))
     return FALSE;
--- a/src/coord/coord_stragglers.c
+++ b/src/coord/coord_stragglers.c
@@ -35,7 +35,7 @@
   int64_t limit
       = MAX (is_best_effort (run) ? BEST_EFFORT_STALL_MIN_MS : STALL_MIN_MS,
              (int64_t)(STALL_RUN_TIME_SHARE
-                       * (double)coord_estimate_ms (c, run->task->step)));
+                       * (double)coord_estimate_run_ms (c, run)));
 
   if (is_best_effort (run))
     return run->full_speed_ms - run->progress_full_speed_ms > (double)limit;
@@ -45,8 +45,11 @@
 static gboolean
 is_lagging (struct hk_coord *c, const struct hk_run *run, int64_t now)
 {
-  double expected = (double)coord_estimate_ms (c, run->task->step);
+  double expected = (double)coord_estimate_run_ms (c, run);
 
+  /* How long a run away from its data may take is not known. */
+  if (coord_run_slowdown (c, run) <= 0)
+    return FALSE;
   return run->progress_percent < LAG_PROGRESS_MAX_PERCENT
          && (double)(now - run->started_ms)
                 > LAG_FACTOR * expected + LAG_MARGIN_MS;
@@ -80,7 +83,7 @@
                 "ran_ms=%" G_GINT64_FORMAT " expected_ms=%" G_GINT64_FORMAT
                 " percent=%u",
                 task->step->index, task->index, run->number,
-                now - run->started_ms, coord_estimate_ms (c, task->step),
+                now - run->started_ms, coord_estimate_run_ms (c, run),
                 run->progress_percent);
       return;
     }
--- a/src/policy/locality.c
+++ b/src/policy/locality.c
@@ -40,6 +40,8 @@
 {
   double weight = FACTOR_WEIGHT;
 
+  if (!isfinite (sample) || sample <= 0)
+    return;
   f->samples++;
   if (f->prior <= 0)
     weight = MAX (weight, 1.0 / f->samples);
--- a/tests/coord/test_locality.c
+++ b/tests/coord/test_locality.c
@@ -429,6 +429,63 @@
     }
 }
 
+/* Guards against instances and queues that look slow because tasks ran away
+   from their data, and against a second attempt of such a task. */
+static void
+remote_runs_do_not_look_slow (void)
+{
+  struct fixture f;
+  struct hk_engine_task *task;
+  struct hk_run *run;
+
+  fixture_init (&f, FACTOR);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      task = submit_near (&f);
+      run = hk_engine_task_place (task, f.instances[2], f.now);
+      run->started_ms = run->reported_ms = run->progress_ms = f.now;
+      advance (&f, 2 * RUN_MS);
+      run->reported_ms = run->progress_ms = f.now;
+      run->full_speed_ms = 2 * RUN_MS;
+      run->progress_percent = 67;
+      coord_stragglers_check (f.c, f.now);
+      g_assert_null (task->runs[1]);
+      advance (&f, RUN_MS);
+      end_run (&f, run, HK_END_DONE);
+    }
+  g_assert_cmpfloat (f.instances[2]->run_time_ratio, <, 1.1);
+  task = submit_near (&f);
+  g_assert_cmpint (coord_estimate_ms (f.c, task->step), ==, RUN_MS);
+  fixture_finish (&f);
+}
+
+/* Guards against a configured factor that is wrong, or missing. */
+static void
+factor_is_learned (void)
+{
+  const double configured[] = { 0, 3.0 };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (configured); i++)
+    {
+      struct fixture f;
+
+      fixture_init (&f, configured[i]);
+      for (unsigned k = 0; k < 200; k++)
+        {
+          unsigned instance = k % 2 ? 2 : 0;
+          struct hk_run *run = hk_engine_task_place (
+              submit_near (&f), f.instances[instance], f.now);
+
+          run->started_ms = run->reported_ms = f.now;
+          advance (&f, instance == 0 ? 600 : 1200);
+          end_run (&f, run, HK_END_DONE);
+        }
+      g_assert_cmpfloat_with_epsilon (
+          hk_locality_factor_value (&f.c->locality.factor), 2.0, 0.1);
+      fixture_finish (&f);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -458,5 +515,8 @@
                    tasks_that_gain_least_are_placed_elsewhere);
   g_test_add_func ("/locality/tasks_without_data_avoid_contested_racks",
                    tasks_without_data_avoid_contested_racks);
+  g_test_add_func ("/locality/remote_runs_do_not_look_slow",
+                   remote_runs_do_not_look_slow);
+  g_test_add_func ("/locality/factor_is_learned", factor_is_learned);
   return g_test_run ();
 }
--- a/tests/unit/test_locality.c
+++ b/tests/unit/test_locality.c
@@ -248,6 +248,22 @@
   g_assert_cmpfloat (hk_locality_left_ms (800, 800, 100), >, 0);
 }
 
+/* Guards against runs of no length, whose ratio is no number. */
+static void
+factors_are_learned_from_numbers (void)
+{
+  struct hk_locality_factor f;
+
+  hk_locality_factor_init (&f, 0);
+  hk_locality_factor_learn (&f, NAN);
+  hk_locality_factor_learn (&f, INFINITY);
+  for (int i = 0; i < 7; i++)
+    hk_locality_factor_learn (&f, 2.5);
+  g_assert_cmpfloat (hk_locality_factor_value (&f), ==, 0);
+  hk_locality_factor_learn (&f, 2.5);
+  g_assert_cmpfloat (hk_locality_factor_value (&f), ==, 2.5);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -261,5 +277,7 @@
                    queued_tasks_lengthen_the_wait);
   g_test_add_func ("/locality/overdue_runs_are_not_expected_to_end_at_once",
                    overdue_runs_are_not_expected_to_end_at_once);
+  g_test_add_func ("/locality/factors_are_learned_from_numbers",
+                   factors_are_learned_from_numbers);
   return g_test_run ();
 }
