Set the run-time factor of remote tasks from the platform's settings

settings_are_overridden covers the setting; on the code before, its settings are rejected, as no such member exists.

--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -732,9 +732,10 @@
         "\"metrics\":\"m\",\"rpc\":\"r\",\"clients\":\"c\",\"readiness\":"
         "\"y\","
         "\"hold_ms\":3000}";
-  const char *const valid[]
-      = { "hold_ms=3500", "store=10.0.0.1:80", "own_ms=", NULL };
-  const char *const invalid[] = { "hold_ms=1", "surprise=1", "hold_ms", "=1" };
+  const char *const valid[] = { "hold_ms=3500", "store=10.0.0.1:80",
+                                "own_ms=", "remote_factor=3", NULL };
+  const char *const invalid[]
+      = { "hold_ms=1", "surprise=1", "hold_ms", "=1", "remote_factor=-1" };
   g_autofree char *dir = g_dir_make_tmp ("hyssopkeel-XXXXXX", NULL);
   g_autofree char *file = g_build_filename (dir, "s.json", NULL);
   struct node_settings s;
@@ -745,6 +746,7 @@
   g_assert_cmpint (s.hold_ms, ==, 3500);
   g_assert_cmpint (s.own_ms, ==, 12000);
   g_assert_cmpstr (s.store, ==, "10.0.0.1:80");
+  g_assert_cmpfloat (s.remote_factor, ==, 3.0);
   node_settings_finish (&s);
   for (guint i = 0; i < G_N_ELEMENTS (invalid); i++)
     {
