--- a/tests/coord/coord_support.c
+++ b/tests/coord/coord_support.c
@@ -125,6 +125,7 @@
 void
 report_send (struct agent *a)
 {
+  hk_label label = { .text = (char *)a->rack };
   hk_sync_args args = { .agent = (char *)a->name,
                         .domain = (char *)"d",
                         .endpoint_started_ms = a->endpoint_started_ms,
@@ -137,6 +138,8 @@
                         .cpu_milli = 4000,
                         .memory_mb = 4000 };
 
+  args.labels.labels_len = a->rack != NULL;
+  args.labels.labels_val = &label;
   args.runs.runs_len = a->n_runs;
   args.runs.runs_val = a->runs;
   args.ends.ends_len = a->n_ends;
--- a/tests/coord/coord_support.h
+++ b/tests/coord/coord_support.h
@@ -14,6 +14,7 @@
  * @n_runs: number of @runs.
  * @ends: ends of its next report.
  * @n_ends: number of @ends.
+ * @rack: label in its reports, not owned; NULL for none.
  * @endpoint_started_ms: start time of its endpoint in its reports.
  * @draining: whether its reports say that its endpoint drains.
  * @final_lease_ms: if not 0, its reports say that it leaves, with this lease.
@@ -35,6 +36,7 @@
   unsigned n_runs;
   hk_run_end ends[8];
   unsigned n_ends;
+  const char *rack;
   int64_t endpoint_started_ms;
   gboolean draining;
   unsigned final_lease_ms;
