Test waits of best-effort tasks and relocations near the data

Guards against best-effort tasks that do not wait for the rack of their data, and against relocations of throttled runs to instances away from it.

Variants of the code: best_effort_tasks_wait fails if best-effort tasks are not put off, throttled_runs_stay_near_their_data if coord_move_speedup() is always 1.

--- a/tests/coord/test_locality.c
+++ b/tests/coord/test_locality.c
@@ -91,15 +91,15 @@
 
 /* A job of one task. */
 static struct hk_engine_task *
-submit (struct fixture *f, const char *rack, unsigned cpu_milli,
-        unsigned run_ms, unsigned urgency)
+submit_with_flags (struct fixture *f, const char *rack, unsigned cpu_milli,
+                   unsigned run_ms, unsigned urgency, unsigned flags)
 {
   g_autofree char *id = g_strdup_printf ("%016x", ++f->n_jobs);
   hk_step_spec step = { .count = 1,
                         .cpu_milli = cpu_milli,
                         .memory_mb = 100,
                         .estimate_ms = run_ms,
-                        .flags = HK_STEP_SPECULATIVE,
+                        .flags = flags,
                         .label = (char *)"",
                         .rack = (char *)rack,
                         .image = (char *)"" };
@@ -117,6 +117,14 @@
               .tasks[0];
 }
 
+static struct hk_engine_task *
+submit (struct fixture *f, const char *rack, unsigned cpu_milli,
+        unsigned run_ms, unsigned urgency)
+{
+  return submit_with_flags (f, rack, cpu_milli, run_ms, urgency,
+                            HK_STEP_SPECULATIVE);
+}
+
 static struct hk_engine_task *
 submit_near (struct fixture *f)
 {
@@ -431,6 +439,70 @@
     }
 }
 
+static struct hk_run *
+run_best_effort (struct fixture *f, const char *rack, unsigned instance,
+                 unsigned cpu_milli, unsigned run_ms)
+{
+  struct hk_engine_task *task
+      = submit_with_flags (f, rack, cpu_milli, run_ms, 2,
+                           HK_STEP_BEST_EFFORT | HK_STEP_CHECKPOINTS);
+  struct hk_run *run
+      = hk_engine_task_place (task, f->instances[instance], f->now);
+
+  run->started_ms = run->reported_ms = run->progress_ms = f->now;
+  return run;
+}
+
+/* Guards against best-effort tasks that are passed over for longer than their
+   wait, as one that fitted nowhere. */
+static void
+best_effort_tasks_wait (void)
+{
+  struct fixture f;
+  struct hk_engine_task *task;
+  struct hk_run *run;
+
+  fixture_init (&f, FACTOR);
+  run = run_best_effort (&f, "", 0, CPU_MILLI, RUN_MS);
+  run_best_effort (&f, "", 1, CPU_MILLI, 10000);
+  advance (&f, 500);
+  task = submit_with_flags (&f, "r1", TASK_MILLI, RUN_MS, 2,
+                            HK_STEP_BEST_EFFORT);
+  pass (&f);
+  g_assert_cmpint (place_of (&f, task), ==, -1);
+  end_run (&f, run, HK_END_DONE);
+  pass (&f);
+  g_assert_cmpint (place_of (&f, task), ==, 0);
+  fixture_finish (&f);
+}
+
+/* Guards against a relocation to an instance where the task is slower, as its
+   data is elsewhere. */
+static void
+throttled_runs_stay_near_their_data (void)
+{
+  const char *const racks[] = { "r1", "r2" };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (racks); i++)
+    {
+      struct fixture f;
+      struct hk_run *run;
+
+      fixture_init (&f, FACTOR);
+      run_on (&f, 1, CPU_MILLI, 10000);
+      run = run_best_effort (&f, racks[i], 0, TASK_MILLI, 10000);
+      run->speed_percent = 40;
+      for (unsigned k = 0; k < 50; k++)
+        {
+          advance (&f, PASS_MS);
+          run->reported_ms = f.now;
+          coord_best_effort_relocate (f.c, f.now);
+        }
+      g_assert_cmpint (run->to_stop, ==, i == 1);
+      fixture_finish (&f);
+    }
+}
+
 /* Guards against instances and queues that look slow because tasks ran away
    from their data, and against a second attempt of such a task. */
 static void
@@ -634,6 +706,9 @@
                    tasks_that_gain_least_are_placed_elsewhere);
   g_test_add_func ("/locality/tasks_without_data_avoid_contested_racks",
                    tasks_without_data_avoid_contested_racks);
+  g_test_add_func ("/locality/best_effort_tasks_wait", best_effort_tasks_wait);
+  g_test_add_func ("/locality/throttled_runs_stay_near_their_data",
+                   throttled_runs_stay_near_their_data);
   g_test_add_func ("/locality/remote_runs_do_not_look_slow",
                    remote_runs_do_not_look_slow);
   g_test_add_func ("/locality/factor_is_learned", factor_is_learned);
