Let no best-effort task wait for its rack in a backlog

While more best-effort steps wait than a pass tries, a step has its turn in one of several passes, so a task that was put off waited for longer than the limit says. Such tasks are placed at once then.

best_effort_tasks_do_not_wait_in_a_backlog fails on the code before.

--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -249,6 +249,7 @@
   struct hk_coord *c;
   int64_t now;
   int64_t retry_ms;      /* pause after a failed placement */
+  unsigned n_waiting;    /* best-effort steps that wait */
   unsigned n_steps;      /* best-effort steps tried */
   unsigned n_placed;     /* tasks placed */
   gboolean exhausted;    /* best-effort steps were left to the next pass */
--- a/src/coord/coord_locality.c
+++ b/src/coord/coord_locality.c
@@ -321,7 +321,8 @@
 
 /* A task waits before its first run only, so that the waits of a task whose
    starts fail do not add up. How long one from before a takeover has waited is
-   not known. */
+   not known. A best-effort task whose turn comes in one of several passes only
+   would wait for longer than it is to. */
 static gboolean
 may_wait (const struct coord_pass *p, const struct hk_engine_task *task)
 {
@@ -331,6 +332,7 @@
          && !(task->step->spec->flags & HK_STEP_SERVICE) && task->last_run == 0
          && task->ready_ms > c->leading_since_ms && !p->need.starving
          && !coord_store_failing (c, p->now)
+         && (!p->need.best_effort || p->n_waiting <= HK_PASS_STEPS_MAX)
          && p->now - wait_began_ms (task, p->now) < wait_limit_ms (p, task);
 }
 
--- a/src/coord/coord_schedule.c
+++ b/src/coord/coord_schedule.c
@@ -275,7 +275,8 @@
     c->round_began_ms = now;
   coord_pass_init (&pass, c, now);
   c->locality.pass++;
-  pass.retry_ms = hk_pass_retry_ms (collect_jobs (c, list, now));
+  pass.n_waiting = collect_jobs (c, list, now);
+  pass.retry_ms = hk_pass_retry_ms (pass.n_waiting);
   qsort (list->data, list->len, sizeof (struct candidate), compare_order_keys);
   rank_best_effort (c, list);
   qsort (list->data, list->len, sizeof (struct candidate), compare_order_keys);
--- a/tests/coord/test_locality.c
+++ b/tests/coord/test_locality.c
@@ -476,6 +476,27 @@
   fixture_finish (&f);
 }
 
+/* Guards against a wait of unknown length: steps beyond the budget of a pass
+   have their turn in a later one. */
+static void
+best_effort_tasks_do_not_wait_in_a_backlog (void)
+{
+  struct fixture f;
+  struct hk_engine_task *task;
+
+  fixture_init (&f, FACTOR);
+  run_best_effort (&f, "", 0, CPU_MILLI, RUN_MS);
+  run_best_effort (&f, "", 1, CPU_MILLI, 10000);
+  advance (&f, 500);
+  for (unsigned i = 0; i < HK_PASS_STEPS_MAX; i++)
+    submit_with_flags (&f, "", 2 * CPU_MILLI, RUN_MS, 3, HK_STEP_BEST_EFFORT);
+  task = submit_with_flags (&f, "r1", TASK_MILLI, RUN_MS, 2,
+                            HK_STEP_BEST_EFFORT);
+  pass (&f);
+  g_assert_true (is_remote (&f, task));
+  fixture_finish (&f);
+}
+
 /* Guards against a relocation to an instance where the task is slower, as its
    data is elsewhere. */
 static void
@@ -707,6 +728,8 @@
   g_test_add_func ("/locality/tasks_without_data_avoid_contested_racks",
                    tasks_without_data_avoid_contested_racks);
   g_test_add_func ("/locality/best_effort_tasks_wait", best_effort_tasks_wait);
+  g_test_add_func ("/locality/best_effort_tasks_do_not_wait_in_a_backlog",
+                   best_effort_tasks_do_not_wait_in_a_backlog);
   g_test_add_func ("/locality/throttled_runs_stay_near_their_data",
                    throttled_runs_stay_near_their_data);
   g_test_add_func ("/locality/remote_runs_do_not_look_slow",
