--- a/include/hyssopkeel/coord.h
+++ b/include/hyssopkeel/coord.h
@@ -20,6 +20,9 @@
  * 100 count as 100. The machine with the higher score leads.
  * @awaits_evacuations: as coordinator, place nothing before
  * hk_coord_set_evacuations() was called.
+ * @remote_factor: run time of a task away from the rack of its data over its
+ * run time there; 0 if unknown: it is learned then, and until it is known no
+ * task waits for that rack.
  */
 struct hk_coord_options
 {
@@ -30,6 +33,7 @@
   size_t record_max_bytes;
   unsigned capacity_score_percent;
   gboolean awaits_evacuations;
+  double remote_factor;
 };
 
 #define HK_COORD_OPTIONS_INIT                                                 \
