Limit the memory and descriptors of unfinished requests

Cause: libsoup read headers and bodies of any number of connections into memory, and RPC records were read the same way, so the sum was not bounded. When accept() failed for lack of descriptors, libsoup removed its listener and the process accepted nothing any more.

Change: one guard (src/rpc/guard.c) counts the connections that all listeners of a process have accepted, and the bytes held for their unfinished requests. Over the budget the requests that have held the most for the longest are closed, clients first. When descriptors run short, idle connections are closed, the longest idle first. HTTP listeners accept by themselves; a connection receives a request header into its own buffer and libsoup gets the stream when the first header is complete, and no byte beyond the end of a request. Headers over their limit get 431, late requests 408. Time-outs count only the time that the process runs, and a late connection is read once more before it is closed. Parsed bodies are released before the response.

The stand-ins of the tests that listen again after a crash use hk_http_listener_stop() in place of soup_server_disconnect(), which no longer closes the listening socket.

--- /dev/null
+++ b/include/hyssopkeel/http_framing.h
@@ -0,0 +1,65 @@
+#ifndef HYSSOPKEEL_HTTP_FRAMING_H
+#define HYSSOPKEEL_HTTP_FRAMING_H
+
+#include <glib.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/**
+ * struct hk_http_framing - where a request (RFC 9112) and its body end.
+ * @empty_bytes: bytes of empty lines before the request.
+ * @scanned: bytes of the header that were searched for its end.
+ * @chunked: the body is chunked.
+ * @body_left: bytes of the body, or of the current chunk, still to come.
+ * @chunks: chunks begun so far.
+ * @state: part of a chunked body that comes next.
+ * @line_bytes: bytes of the current trailer line.
+ * @done: the body is complete.
+ */
+struct hk_http_framing
+{
+  size_t empty_bytes;
+  size_t scanned;
+  gboolean chunked;
+  uint64_t body_left;
+  uint64_t chunks;
+  int state;
+  size_t line_bytes;
+  gboolean done;
+};
+
+/**
+ * hk_http_framing_empty() - count empty lines before a request.
+ * @f: framing.
+ * @data: received bytes at whose start a request or an empty line is.
+ * @len: their number.
+ *
+ * Return: number of bytes to skip.
+ */
+size_t hk_http_framing_empty (struct hk_http_framing *f, const uint8_t *data,
+                              size_t len);
+
+/**
+ * hk_http_framing_header() - find the end of a header.
+ * @f: framing; continues where the last call stopped.
+ * @data: all bytes received since the start of the request line.
+ * @len: their number.
+ *
+ * Return: length of the header with its final empty line; 0 if it is not
+ * complete. @chunked, @body_left and @done are then set.
+ */
+size_t hk_http_framing_header (struct hk_http_framing *f, const uint8_t *data,
+                               size_t len);
+
+/**
+ * hk_http_framing_body() - find the end of a body.
+ * @f: framing; continues where the last call stopped.
+ * @data: further received bytes.
+ * @len: their number.
+ *
+ * Return: number of bytes that belong to the body; @done is set at its end.
+ */
+size_t hk_http_framing_body (struct hk_http_framing *f, const uint8_t *data,
+                             size_t len);
+
+#endif
--- a/include/hyssopkeel/rpc_conn.h
+++ b/include/hyssopkeel/rpc_conn.h
@@ -17,12 +17,15 @@
  * @opened: an outgoing connection is established; may be NULL.
  * @record: a complete record has arrived; a negative return value closes the
  *          connection.
+ * @pending: called after each read with the number of bytes of a record that
+ *           is not complete; must not close the connection; may be NULL.
  * @closed: the connection has failed or the peer has closed it.
  */
 struct hk_rpc_conn_ops
 {
   void (*opened) (struct hk_rpc_conn *conn);
   int (*record) (struct hk_rpc_conn *conn, const uint8_t *data, uint32_t len);
+  void (*pending) (struct hk_rpc_conn *conn, size_t bytes);
   void (*closed) (struct hk_rpc_conn *conn, const struct hk_error *err);
 };
 
@@ -93,6 +96,12 @@
 void hk_rpc_conn_send (struct hk_rpc_conn *conn, const uint8_t *data,
                        uint32_t len);
 
+/**
+ * hk_rpc_conn_receive() - read what has arrived.
+ * @conn: open connection; its callbacks are called, also @closed.
+ */
+void hk_rpc_conn_receive (struct hk_rpc_conn *conn);
+
 /**
  * hk_rpc_conn_finish() - close without calling @closed.
  * @conn: connection; may be closed already.
--- a/include/hyssopkeel/rpc_server.h
+++ b/include/hyssopkeel/rpc_server.h
@@ -4,6 +4,7 @@
 #include <rpc/rpc.h>
 #include <sys/queue.h>
 
+#include "hyssopkeel/guard.h"
 #include "hyssopkeel/rpc_conn.h"
 
 struct hk_rpc_request;
@@ -38,7 +39,8 @@
  * @bytes_out: bytes written to connections that are closed by now.
  * @connections: connections accepted so far.
  * @socket: listening socket, NULL while stopped.
- * @source: readiness of @socket.
+ * @watch: readiness of @socket.
+ * @group: limits of the accepted connections.
  * @clients: accepted connections.
  */
 struct hk_rpc_server
@@ -52,7 +54,8 @@
   uint64_t bytes_out;
   uint64_t connections;
   GSocket *socket;
-  GSource *source;
+  struct hk_watch watch;
+  struct hk_guard_group group;
   LIST_HEAD (, hk_rpc_client) clients;
 };
 
--- a/include/hyssopkeel/settings.h
+++ b/include/hyssopkeel/settings.h
@@ -27,11 +27,16 @@
   char **store;
   gint64 store_timeout_ms;
   gint64 stop_limit_ms;
+  gint64 memory_mb;
+  gint64 max_fds;
   /* entry */
   char *http;
   char **peers;
   gint64 body_limit;
   gint64 request_read_ms;
+  gint64 header_limit;
+  gint64 empty_line_limit;
+  gint64 idle_ms;
   gint64 leave_ms;
   gboolean random_placement;
   gint64 announce_budget_bytes_s;
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -6,6 +6,7 @@
 
 #include "hyssopkeel/agent.h"
 #include "hyssopkeel/entry.h"
+#include "hyssopkeel/guard.h"
 #include "hyssopkeel/log.h"
 #include "hyssopkeel/timer.h"
 #include "hyssopkeel/version.h"
@@ -88,6 +89,7 @@
   struct hk_error err = { 0 };
 
   signal (SIGPIPE, SIG_IGN);
+  hk_guard_configure (d->settings.memory_mb, d->settings.max_fds);
   d->loop = g_main_loop_new (NULL, FALSE);
   g_unix_signal_add (SIGTERM, on_signal, d);
   g_unix_signal_add (SIGINT, on_signal, d);
--- a/src/entry/http.c
+++ b/src/entry/http.c
@@ -270,21 +270,24 @@
 {
   struct hk_entry_http *h = (struct hk_entry_http *)task;
   const char *address = h->entry->settings->http;
+  struct hk_guard_limits limits = HK_GUARD_LIMITS_INIT;
   g_autoptr (GSocket) socket = NULL;
-  g_autoptr (GError) gerr = NULL;
   int rc = hk_listener_new (&socket, "http.listen", address, err);
 
   if (rc < 0)
     return rc;
+  limits.header_bytes = h->entry->settings->header_limit;
+  limits.empty_bytes = h->entry->settings->empty_line_limit;
+  limits.body_bytes = h->entry->settings->body_limit;
+  limits.header_ms = h->entry->settings->request_read_ms;
+  limits.body_ms = h->entry->settings->request_read_ms;
+  limits.idle_ms = h->entry->settings->idle_ms;
   h->server = soup_server_new ("server-header", "hyssopkeel", NULL);
   soup_server_add_handler (h->server, NULL, on_request, h, NULL);
   g_signal_connect (h->server, "request-started",
                     G_CALLBACK (on_request_started), h);
-  if (!soup_server_listen_socket (h->server, socket, 0, &gerr))
-    {
-      g_clear_object (&h->server);
-      return hk_error_from_gerror (err, "http.listen", address, gerr);
-    }
+  hk_http_listener_add (h->server, socket, HK_CONN_CLIENT, &limits,
+                        "Hyssopkeel-Outcome: not-run\r\n");
   return HK_OK;
 }
 
@@ -331,7 +334,7 @@
 
   hk_timer_clear (&h->drain_timer);
   if (h->server)
-    soup_server_disconnect (h->server);
+    hk_http_listener_stop (h->server);
   g_clear_object (&h->server);
 }
 
--- a/src/entry/http_limits.c
+++ b/src/entry/http_limits.c
@@ -1,41 +1,22 @@
-/* Limits on the size of a request and on the time it takes to arrive. */
+/* Limits on the size of the body of a request. */
 #include "http_limits.h"
 
-#include <string.h>
-
 #include "http_response.h"
-#include "hyssopkeel/log.h"
-
-#define IDLE_TIMEOUT_MS 60000
-#define CLOSE_HEADERS                                                         \
-  "\r\nHyssopkeel-Outcome: not-run\r\nConnection: close\r\n"                  \
-  "Content-Length: 0\r\n\r\n"
-#define TOO_LARGE_RESPONSE                                                    \
-  "HTTP/1.1 413 Request Entity Too Large" CLOSE_HEADERS
-#define TOO_SLOW_RESPONSE "HTTP/1.1 408 Request Timeout" CLOSE_HEADERS
+#include "hyssopkeel/http_conn.h"
 
 struct request_limits
 {
   struct hk_entry *entry;
   SoupServerMessage *msg;
   gsize body_bytes;
-  struct hk_timer timer;
 };
 
-static void
-free_request_limits (gpointer data)
-{
-  struct request_limits *r = data;
-
-  hk_timer_clear (&r->timer);
-  g_free (r);
-}
-
 static void
 reject_body (struct request_limits *r)
 {
   soup_message_body_set_accumulate (
       soup_server_message_get_request_body (r->msg), FALSE);
+  hk_http_conn_body_discarded (r->msg);
   soup_message_headers_replace (
       soup_server_message_get_response_headers (r->msg), "Connection",
       "close");
@@ -44,35 +25,12 @@
                            "the body is larger than the limit of this entry");
 }
 
-/* libsoup responds only to a complete request, so the response to one that
-   does not arrive in time is written directly to its socket. */
-static void
-on_read_timeout (void *user)
-{
-  struct request_limits *r = user;
-  GSocket *socket = soup_server_message_get_socket (r->msg);
-  gboolean body_too_large = soup_server_message_get_status (r->msg)
-                            == SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE;
-  const char *response
-      = body_too_large ? TOO_LARGE_RESPONSE : TOO_SLOW_RESPONSE;
-
-  hk_log (HK_LOG_DEBUG, "http", soup_server_message_get_remote_host (r->msg),
-          NULL, "connection was idle or slow for too long");
-  if (!socket)
-    return;
-  g_socket_send_with_blocking (socket, response, strlen (response), FALSE,
-                               NULL, NULL);
-  g_socket_shutdown (socket, TRUE, TRUE, NULL);
-}
-
 static void
 on_got_headers (SoupServerMessage *msg, gpointer user)
 {
   struct request_limits *r = user;
   SoupMessageHeaders *headers = soup_server_message_get_request_headers (msg);
 
-  hk_timer_set (&r->timer, r->entry->settings->request_read_ms,
-                on_read_timeout, r);
   if (soup_message_headers_get_encoding (headers)
           == SOUP_ENCODING_CONTENT_LENGTH
       && soup_message_headers_get_content_length (headers)
@@ -94,15 +52,6 @@
     reject_body (r);
 }
 
-static void
-on_got_body (SoupServerMessage *msg, gpointer user)
-{
-  struct request_limits *r = user;
-
-  (void)msg;
-  hk_timer_clear (&r->timer);
-}
-
 void
 hk_http_limits_attach (struct hk_entry *entry, SoupServerMessage *msg)
 {
@@ -110,10 +59,7 @@
 
   r->entry = entry;
   r->msg = msg;
-  hk_timer_set (&r->timer, IDLE_TIMEOUT_MS, on_read_timeout, r);
-  g_object_set_data_full (G_OBJECT (msg), "hk-reading", r,
-                          free_request_limits);
+  g_object_set_data_full (G_OBJECT (msg), "hk-reading", r, g_free);
   g_signal_connect (msg, "got-headers", G_CALLBACK (on_got_headers), r);
   g_signal_connect (msg, "got-chunk", G_CALLBACK (on_got_chunk), r);
-  g_signal_connect (msg, "got-body", G_CALLBACK (on_got_body), r);
 }
--- a/src/entry/http_limits.h
+++ b/src/entry/http_limits.h
@@ -4,12 +4,11 @@
 #include "entry.h"
 
 /**
- * hk_http_limits_attach() - limit a request's size and the time to read it.
+ * hk_http_limits_attach() - limit the size of a request's body.
  * @entry: entry whose settings apply.
  * @msg: message whose request has not been read yet.
  *
- * A body over the limit is discarded and the response is 413. A request that
- * does not arrive in time gets 408 and its connection is closed.
+ * A body over the limit is discarded and the response is 413.
  */
 void hk_http_limits_attach (struct hk_entry *entry, SoupServerMessage *msg);
 
--- /dev/null
+++ b/src/rpc/http_receive.c
@@ -0,0 +1,189 @@
+/* Receiving of requests: decides how much of what arrives libsoup may get. */
+#include <gio/gio.h>
+
+#include "http_conn_priv.h"
+
+#define RECEIVE_BYTES 16384
+/* libsoup gets a body in pieces of this size: it allocates more for a small
+   piece than the piece has bytes. */
+#define BODY_PIECE_BYTES 8192
+/* A client that goes on to send after its rejection is read up to here, since
+   closing a socket with unread bytes may discard the response. */
+#define LINGER_MAX_BYTES (1 << 20)
+
+/* Appends up to @max bytes to the buffer. Returns FALSE if none have arrived
+   or the connection is at its end. */
+static gboolean
+receive_bytes (struct hk_http_conn *conn, size_t max)
+{
+  static uint8_t buf[RECEIVE_BYTES];
+  g_autoptr (GError) gerr = NULL;
+  gssize n;
+
+  if (conn->eof)
+    return FALSE;
+  n = g_socket_receive_with_blocking (
+      conn->socket, (char *)buf, MIN (max, sizeof buf), FALSE, NULL, &gerr);
+  if (n > 0)
+    {
+      if (!conn->in)
+        conn->in = g_byte_array_new ();
+      g_byte_array_append (conn->in, buf, (guint)n);
+      return TRUE;
+    }
+  if (n == 0 || !g_error_matches (gerr, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+    {
+      conn->eof = TRUE;
+      hk_watch_clear (&conn->watch);
+    }
+  return FALSE;
+}
+
+static void
+begin_body (struct hk_http_conn *conn, size_t header_bytes)
+{
+  conn->ready = header_bytes;
+  conn->taken = 0;
+  conn->discarded = !conn->framing.chunked
+                    && conn->framing.body_left
+                           > (uint64_t)hk_http_stream_body_limit (conn);
+  hk_guard_enter (&conn->guard,
+                  conn->framing.done ? HK_GUARD_BUSY : HK_GUARD_BODY);
+  hk_watch_clear (&conn->watch);
+  if (conn->stream)
+    hk_http_stream_wake (conn->stream);
+  else if (!conn->handed_over)
+    hk_http_conn_hand_over (conn);
+}
+
+static void
+receive_header (struct hk_http_conn *conn)
+{
+  const struct hk_guard_limits *limits = &conn->guard.group->limits;
+  size_t max = (size_t)limits->header_bytes;
+  size_t len;
+
+  do
+    {
+      size_t n = 0;
+      size_t skip;
+
+      if (!conn->in || conn->in->len == 0)
+        continue;
+      hk_guard_enter (&conn->guard, HK_GUARD_HEADER);
+      if (conn->framing.scanned == 0)
+        {
+          skip = hk_http_framing_empty (&conn->framing, conn->in->data,
+                                        conn->in->len);
+          g_byte_array_remove_range (conn->in, 0, (guint)skip);
+        }
+      if (conn->framing.empty_bytes > (size_t)limits->empty_bytes)
+        {
+          hk_guard_count (HK_GUARD_EMPTY_LINES);
+          hk_http_conn_end (conn);
+          return;
+        }
+      if (conn->in->len > 0)
+        n = hk_http_framing_header (&conn->framing, conn->in->data,
+                                    conn->in->len);
+      len = n > 0 ? n : conn->in->len;
+      if (len > max)
+        {
+          hk_guard_count (HK_GUARD_HEADER_SIZE);
+          hk_http_conn_reject (conn, "431 Request Header Fields Too Large");
+          return;
+        }
+      hk_http_conn_update_held (conn);
+      if (n > 0)
+        {
+          begin_body (conn, n);
+          return;
+        }
+    }
+  while (receive_bytes (conn, max + 1));
+  if (!conn->eof)
+    hk_http_conn_watch (conn);
+  else if (conn->stream)
+    hk_http_stream_wake (conn->stream);
+  else
+    hk_http_conn_end (conn);
+}
+
+/* A chunk may be followed by the next request. */
+static void
+receive_chunks (struct hk_http_conn *conn)
+{
+  size_t pending;
+
+  if (conn->in->len == conn->ready)
+    receive_bytes (conn, BODY_PIECE_BYTES);
+  pending = conn->in->len - conn->ready;
+  conn->ready += hk_http_framing_body (&conn->framing,
+                                       conn->in->data + conn->ready, pending);
+}
+
+static void
+receive_sized (struct hk_http_conn *conn)
+{
+  uint64_t left = conn->framing.body_left;
+  size_t piece = (size_t)MIN (left, BODY_PIECE_BYTES);
+  size_t have;
+
+  while (conn->in->len - conn->ready < piece
+         && receive_bytes (conn, piece - (conn->in->len - conn->ready)))
+    ;
+  have = conn->in->len - conn->ready;
+  if (have >= piece || conn->eof)
+    conn->ready += hk_http_framing_body (&conn->framing,
+                                         conn->in->data + conn->ready, have);
+}
+
+static void
+receive_body (struct hk_http_conn *conn)
+{
+  if (!conn->in)
+    conn->in = g_byte_array_new ();
+  if (conn->framing.chunked)
+    receive_chunks (conn);
+  else
+    receive_sized (conn);
+  hk_http_conn_update_held (conn);
+  if (conn->framing.done)
+    hk_guard_enter (&conn->guard, HK_GUARD_BUSY);
+  if (conn->ready == 0 && !conn->eof)
+    {
+      hk_http_conn_watch (conn);
+      return;
+    }
+  hk_watch_clear (&conn->watch);
+  if (conn->stream)
+    hk_http_stream_wake (conn->stream);
+}
+
+static void
+receive_lingering (struct hk_http_conn *conn)
+{
+  while (receive_bytes (conn, RECEIVE_BYTES))
+    {
+      conn->lingered += conn->in->len;
+      g_byte_array_set_size (conn->in, 0);
+      if (conn->lingered > LINGER_MAX_BYTES)
+        break;
+    }
+  if (conn->eof || conn->lingered > LINGER_MAX_BYTES)
+    hk_http_conn_end (conn);
+}
+
+void
+hk_http_conn_receive (struct hk_http_conn *conn)
+{
+  if (!conn->guard.group)
+    return;
+  if (conn->guard.phase == HK_GUARD_LINGER)
+    receive_lingering (conn);
+  else if (conn->guard.phase == HK_GUARD_BODY && conn->ready == 0)
+    receive_body (conn);
+  else if (conn->guard.phase == HK_GUARD_IDLE
+           || conn->guard.phase == HK_GUARD_HEADER)
+    receive_header (conn);
+}
--- a/src/rpc/rpc_conn.c
+++ b/src/rpc/rpc_conn.c
@@ -103,8 +103,16 @@
       consumed += 4 + len;
     }
   conn->destroyed = NULL;
-  if (consumed > 0)
+  /* A connection that is idle keeps no memory for the next record. */
+  if (consumed == conn->in->len)
+    {
+      g_byte_array_unref (conn->in);
+      conn->in = g_byte_array_new ();
+    }
+  else if (consumed > 0)
     g_byte_array_remove_range (conn->in, 0, (guint)consumed);
+  if (conn->ops->pending)
+    conn->ops->pending (conn, conn->in->len);
 }
 
 static void on_ready (uint32_t events, void *user);
@@ -119,17 +127,14 @@
 static void
 read_available (struct hk_rpc_conn *conn)
 {
+  static uint8_t chunk[READ_CHUNK_BYTES];
   g_autoptr (GError) gerr = NULL;
-  guint old = conn->in->len;
-  gssize n;
-
-  g_byte_array_set_size (conn->in, old + READ_CHUNK_BYTES);
-  n = g_socket_receive_with_blocking (conn->socket,
-                                      (char *)conn->in->data + old,
-                                      READ_CHUNK_BYTES, FALSE, NULL, &gerr);
-  g_byte_array_set_size (conn->in, old + (n > 0 ? (guint)n : 0));
+  gssize n = g_socket_receive_with_blocking (conn->socket, (char *)chunk,
+                                             sizeof chunk, FALSE, NULL, &gerr);
+
   if (n > 0)
     {
+      g_byte_array_append (conn->in, chunk, (guint)n);
       conn->bytes_in += (uint64_t)n;
       deliver_records (conn);
     }
@@ -140,6 +145,12 @@
     fail_connection_gerror (conn, "rpc.read", gerr);
 }
 
+void
+hk_rpc_conn_receive (struct hk_rpc_conn *conn)
+{
+  read_available (conn);
+}
+
 /* Ignores write errors: the next read fails as well and reports them. */
 static void
 flush_output (struct hk_rpc_conn *conn)
--- a/src/rpc/rpc_server.c
+++ b/src/rpc/rpc_server.c
@@ -2,18 +2,23 @@
    handlers and sends the replies. */
 #include "hyssopkeel/rpc_server.h"
 
+#include <stddef.h>
 #include <string.h>
+#include <sys/epoll.h>
 
 #include "hyssopkeel/listener.h"
 #include "hyssopkeel/log.h"
 
 #define REPLY_HEADER_MAX_BYTES 64
 #define AUTH_BODY_MAX_BYTES 400
+/* Peers may be frozen for seconds in the middle of a record. */
+#define RECORD_TIMEOUT_MS 60000
 
 /* An accepted connection. Freed once it is closed and each of its requests
    has been replied to. */
 struct hk_rpc_client
 {
+  struct hk_guard_conn guard;
   struct hk_rpc_server *srv;
   struct hk_rpc_conn conn;
   uint64_t number;
@@ -43,6 +48,7 @@
   client->srv->bytes_in += client->conn.bytes_in;
   client->srv->bytes_out += client->conn.bytes_out;
   LIST_REMOVE (client, link);
+  hk_guard_remove (&client->guard);
   hk_rpc_conn_finish (&client->conn);
   unref_client (client);
 }
@@ -54,6 +60,31 @@
   close_client (conn->user);
 }
 
+static void
+on_pending (struct hk_rpc_conn *conn, size_t bytes)
+{
+  struct hk_rpc_client *client = conn->user;
+
+  hk_guard_enter (&client->guard, bytes > 0 ? HK_GUARD_BODY : HK_GUARD_IDLE);
+  hk_guard_hold (&client->guard, bytes);
+}
+
+static void
+receive_waiting (struct hk_guard_conn *guard)
+{
+  hk_rpc_conn_receive (&((struct hk_rpc_client *)guard)->conn);
+}
+
+static void
+close_guarded (struct hk_guard_conn *guard, enum hk_guard_cause cause)
+{
+  (void)cause;
+  close_client ((struct hk_rpc_client *)guard);
+}
+
+static const struct hk_guard_conn_ops guard_ops
+    = { .receive = receive_waiting, .close = close_guarded };
+
 /* Returns HK_ERR_TOO_BIG, and sends nothing, if the reply or a field of it is
    over its limit. */
 static int
@@ -197,39 +228,73 @@
 }
 
 static const struct hk_rpc_conn_ops conn_ops
-    = { .record = on_record, .closed = on_closed };
+    = { .record = on_record, .pending = on_pending, .closed = on_closed };
+
+static void on_accept (uint32_t events, void *user);
+
+static void
+resume (struct hk_guard_group *group)
+{
+  struct hk_rpc_server *srv
+      = (struct hk_rpc_server *)((char *)group
+                                 - offsetof (struct hk_rpc_server, group));
+
+  hk_watch_set (&srv->watch, g_socket_get_fd (srv->socket), EPOLLIN, on_accept,
+                srv);
+}
 
-static gboolean
-on_accept (GSocket *socket, GIOCondition condition, gpointer user)
+/* A server that can't accept is not watched until the guard resumes it, as its
+   socket stays readable. */
+static void
+on_accept (uint32_t events, void *user)
 {
   struct hk_rpc_server *srv = user;
-  g_autoptr (GSocket) accepted = g_socket_accept (socket, NULL, NULL);
+  g_autoptr (GError) gerr = NULL;
+  g_autoptr (GSocket) accepted = NULL;
   struct hk_rpc_client *client;
 
-  (void)condition;
+  (void)events;
+  if (!hk_guard_admit (&srv->group))
+    {
+      hk_watch_clear (&srv->watch);
+      return;
+    }
+  accepted = g_socket_accept (srv->socket, NULL, &gerr);
   if (!accepted)
-    return G_SOURCE_CONTINUE;
+    {
+      if (!g_error_matches (gerr, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+        {
+          hk_watch_clear (&srv->watch);
+          hk_guard_accept_failed (&srv->group);
+        }
+      return;
+    }
   client = g_new0 (struct hk_rpc_client, 1);
+  client->guard.ops = &guard_ops;
   client->srv = srv;
   client->number = ++srv->connections;
   client->refs = 1;
   LIST_INSERT_HEAD (&srv->clients, client, link);
+  hk_guard_add (&client->guard, &srv->group);
   hk_rpc_conn_accept (&client->conn, accepted, &conn_ops, client);
-  return G_SOURCE_CONTINUE;
 }
 
 int
 hk_rpc_server_start (struct hk_rpc_server *srv, const char *address,
                      struct hk_error *err)
 {
+  const struct hk_guard_limits limits = HK_GUARD_LIMITS_INIT;
   int rc = hk_listener_new (&srv->socket, "rpc.listen", address, err);
 
   LIST_INIT (&srv->clients);
   if (rc < 0)
     return rc;
-  srv->source = g_socket_create_source (srv->socket, G_IO_IN, NULL);
-  g_source_set_callback (srv->source, G_SOURCE_FUNC (on_accept), srv, NULL);
-  g_source_attach (srv->source, NULL);
+  srv->group.origin = HK_CONN_PEER;
+  srv->group.limits = limits;
+  srv->group.limits.body_ms = RECORD_TIMEOUT_MS;
+  srv->group.resume = resume;
+  hk_guard_group_init (&srv->group);
+  resume (&srv->group);
   return HK_OK;
 }
 
@@ -238,13 +303,12 @@
 {
   if (!srv->socket)
     return;
-  g_source_destroy (srv->source);
-  g_source_unref (srv->source);
-  srv->source = NULL;
+  hk_watch_clear (&srv->watch);
   g_socket_close (srv->socket, NULL);
   g_clear_object (&srv->socket);
   while (!LIST_EMPTY (&srv->clients))
     close_client (LIST_FIRST (&srv->clients));
+  hk_guard_group_finish (&srv->group);
 }
 
 void
--- a/src/util/settings.c
+++ b/src/util/settings.c
@@ -22,6 +22,8 @@
     60000 },
   { "stop_limit_ms", HK_JSON_INT, OFFSET (stop_limit_ms), FALSE, 100,
     3600000 },
+  { "memory_mb", HK_JSON_INT, OFFSET (memory_mb), FALSE, 0, 16777216 },
+  { "max_fds", HK_JSON_INT, OFFSET (max_fds), FALSE, 0, 16777216 },
 };
 
 static const struct hk_json_field entry_fields[] = {
@@ -30,6 +32,10 @@
   { "body_limit", HK_JSON_INT, OFFSET (body_limit), FALSE, 1, 2000000 },
   { "request_read_ms", HK_JSON_INT, OFFSET (request_read_ms), FALSE, 100,
     600000 },
+  { "header_limit", HK_JSON_INT, OFFSET (header_limit), FALSE, 1024, 65535 },
+  { "empty_line_limit", HK_JSON_INT, OFFSET (empty_line_limit), FALSE, 2,
+    65535 },
+  { "idle_ms", HK_JSON_INT, OFFSET (idle_ms), FALSE, 0, 86400000 },
   { "announce_budget_bytes_s", HK_JSON_INT, OFFSET (announce_budget_bytes_s),
     FALSE, 200, 100000000 },
   { "random_placement", HK_JSON_BOOL, OFFSET (random_placement), FALSE, 0, 0 },
@@ -62,6 +68,9 @@
   s->stop_limit_ms = 30000;
   s->body_limit = 1 << 20;
   s->request_read_ms = 10000;
+  s->header_limit = 65535;
+  s->empty_line_limit = 1024;
+  s->idle_ms = 60000;
   s->announce_budget_bytes_s = 2500;
   s->leave_ms = 1000;
   s->distance_us = 1500;
--- a/tests/platform/test_platform.c
+++ b/tests/platform/test_platform.c
@@ -89,7 +89,7 @@
 static void
 scripted_server_stop (struct scripted_server *s)
 {
-  soup_server_disconnect (s->server);
+  hk_http_listener_stop (s->server);
   g_object_unref (s->server);
   g_free (s->address);
   g_free (s->instance);
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -358,7 +358,7 @@
 {
   while (s->watches)
     watch_reply (s->watches->data, TRUE);
-  soup_server_disconnect (s->server);
+  hk_http_listener_stop (s->server);
   g_object_unref (s->server);
   g_hash_table_unref (s->items);
   g_ptr_array_unref (s->log);
--- a/tests/soak/worker.c
+++ b/tests/soak/worker.c
@@ -297,7 +297,7 @@
     return;
   soak_runs_crash (w);
   g_ptr_array_set_size (w->waiting, 0);
-  soup_server_disconnect (w->server);
+  hk_http_listener_stop (w->server);
   w->up_at_ms = hk_clock_ms () + down_ms;
   w->incarnations++;
   if (same_id)
@@ -353,7 +353,7 @@
 soak_worker_stop (struct soak_worker *w)
 {
   g_source_remove (w->timer);
-  soup_server_disconnect (w->server);
+  hk_http_listener_stop (w->server);
   g_object_unref (w->server);
   soup_session_abort (w->session);
   g_object_unref (w->session);
