Give all attempts to start a run one deadline

Cause: each attempt had a deadline of 1.5 s of its own. With calls that are not answered within 450 ms the third attempt could be carried out 2.5 s after the order, and an agent that was suspended between two attempts sent one at any time later. The coordinator may have evacuated the domain meanwhile, or cancelled the job, and cannot tell an agent that has lost it.

No attempt is sent after it; the run is then refused, or stopped first if an attempt may still arrive.

--- a/src/runner/runner_run.c
+++ b/src/runner/runner_run.c
@@ -5,7 +5,9 @@
    of that run from then on. */
 #include "runner.h"
 
-/* The endpoint refuses a start that arrives later than this. */
+/* The endpoint refuses a start that arrives later than this after the order,
+   whichever attempt it is: the coordinator may have found a reason since for
+   which nothing may start there, and cannot tell the agent. */
 #define START_DEADLINE_MS 1500
 /* A start that a former agent of the endpoint sent arrives no later than this
    after the start of this agent; twice its deadline, as clocks differ. */
@@ -366,7 +368,9 @@
 {
   struct hk_runner *r = run->r;
   int64_t now = hk_clock_ms ();
-  const char *obstacle = start_obstacle (r, now);
+  int64_t left_ms = run->ordered_ms + START_DEADLINE_MS - now;
+  const char *obstacle
+      = left_ms > 0 ? start_obstacle (r, now) : "start deadline exceeded";
   struct hk_runtime_start order = { .task = run->task,
                                     .run = run->number,
                                     .fence = runner_fence (r),
@@ -379,7 +383,7 @@
       handle_refusal (run, obstacle);
       return;
     }
-  order.deadline_ms = runner_endpoint_clock_ms (r, now) + START_DEADLINE_MS;
+  order.deadline_ms = runner_endpoint_clock_ms (r, now) + left_ms;
   runner_lease_extend (r, order.deadline_ms, now);
   run->start_attempts++;
   run->open_calls++;
--- a/tests/runner/test_unanswered.c
+++ b/tests/runner/test_unanswered.c
@@ -135,6 +135,88 @@
   fixture_finish (&f);
 }
 
+/* Time-out of a start call without an answer. */
+#define START_TIMEOUT_MS 450
+/* How far the deadlines may differ, as the endpoint's clock is estimated. */
+#define DEADLINE_ERROR_MS 150
+
+/* Deadlines of the attempts to start the first run of the first task. */
+struct attempts
+{
+  struct hk_runtime_ops ops;
+  unsigned n;
+  int64_t first_deadline_ms;
+  int64_t last_deadline_ms;
+};
+
+static struct attempts attempts;
+
+struct start_call
+{
+  hk_runtime_done done;
+  void *user;
+};
+
+static gboolean
+start_time_out (gpointer data)
+{
+  g_autofree struct start_call *call = data;
+  struct hk_runtime_list none = { 0 };
+  struct hk_error err;
+
+  hk_error_set (&err, HK_ERR_TIMEOUT, "runtime", "memory", "no answer");
+  call->done (HK_ERR_TIMEOUT, &none, 0, &err, call->user);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+unanswered_start (struct hk_runtime *rt, const struct hk_runtime_start *order,
+                  hk_runtime_done done, void *user)
+{
+  struct start_call *call = g_new0 (struct start_call, 1);
+
+  (void)rt;
+  if (order->task.step == 0 && order->task.index == 0 && order->run == 1)
+    {
+      if (attempts.n++ == 0)
+        attempts.first_deadline_ms = order->deadline_ms;
+      attempts.last_deadline_ms = order->deadline_ms;
+    }
+  call->done = done;
+  call->user = user;
+  g_timeout_add (START_TIMEOUT_MS, start_time_out, call);
+}
+
+static gboolean
+three_attempted (void *user)
+{
+  (void)user;
+  return attempts.n == 3;
+}
+
+/* Guards against a start that is carried out long after its order, when
+   nothing may start there any more: each attempt had a deadline of its own. */
+static void
+attempts_to_start_share_a_deadline (void)
+{
+  const struct hk_runtime_ops *answered;
+  struct fixture f;
+
+  fixture_init (&f);
+  answered = f.rt.base.ops;
+  attempts.ops = *answered;
+  attempts.ops.start = unanswered_start;
+  f.rt.base.ops = &attempts.ops;
+  send_request (&f, 0, HK_JOB_REQUEST_SUBMIT);
+  test_run_until (three_attempted, NULL);
+  g_assert_cmpint (attempts.last_deadline_ms - attempts.first_deadline_ms, <,
+                   DEADLINE_ERROR_MS);
+  /* Lets the open calls end. */
+  f.rt.base.ops = answered;
+  test_run_for (2 * START_TIMEOUT_MS);
+  fixture_finish (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -146,5 +228,6 @@
   ADD (unanswered_starts_are_stopped_at_each_incarnation);
   ADD (unanswered_attempts_are_stopped_after_the_end);
   ADD (starts_of_a_former_agent_run_once);
+  ADD (attempts_to_start_share_a_deadline);
   return g_test_run ();
 }
