Count only usable instances in admission and starvation rules

Cause: the CPUs of an evacuated domain counted as capacity for best-effort work, and in the share of CPUs up to which a task may start however slow it will be. Jobs were admitted, and Retry-After computed, for capacity that cannot be used.

Change: coord_best_effort_cores(), from which admission, Retry-After and the order of jobs follow, and the CPUs of a pass leave out evacuated instances.

--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -258,7 +258,7 @@
   unsigned n_placed;     /* tasks placed */
   gboolean exhausted;    /* best-effort steps were left to the next pass */
   double used_cpu_milli; /* of those in touch, without best-effort runs */
-  double cpu_milli;      /* of all instances */
+  double cpu_milli;      /* of all instances that are not evacuated */
   struct hk_pass_failures failures;
   struct hk_job_place_need need;
   struct hk_job_place_view *views;
--- a/src/coord/coord_candidates.c
+++ b/src/coord/coord_candidates.c
@@ -224,7 +224,7 @@
   p->instances = c->candidate_instances;
   p->scores = c->candidate_scores;
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
-  if (in->capacity_known)
+  if (in->capacity_known && !in->evacuated)
     {
       p->cpu_milli += in->cpu_milli;
       if (is_in_touch (in, now))
--- a/src/coord/coord_estimate.c
+++ b/src/coord/coord_estimate.c
@@ -255,7 +255,7 @@
   {
     const struct coord_sharing *s;
 
-    if (!in->capacity_known || in->draining)
+    if (!in->capacity_known || in->draining || in->evacuated)
       continue;
     s = coord_sharing_of (c, in);
     available_milli += MAX ((double)coord_best_effort_free_milli (in)
--- a/tests/coord/test_evacuate.c
+++ b/tests/coord/test_evacuate.c
@@ -342,6 +342,55 @@
   fixture_finish (&f);
 }
 
+/* Guards against jobs that are admitted, and tasks that wait, because of
+   capacity in a domain where nothing may start. */
+static void
+evacuated_capacity_does_not_count (void)
+{
+  struct fixture f;
+  struct coord_pass all;
+  struct coord_pass rest;
+  double cores;
+
+  fixture_init (&f);
+  report (&f.a);
+  submit (&f, JOB, 0);
+  test_run_until (two_started, &f.a);
+  report_both (&f);
+  cores = coord_best_effort_cores (f.c);
+  coord_pass_init (&all, f.c, hk_clock_ms ());
+  g_assert_cmpfloat (all.used_cpu_milli, >, 0);
+  evacuate (f.c, "A", NULL);
+  coord_pass_init (&rest, f.c, hk_clock_ms ());
+  g_assert_cmpfloat (rest.cpu_milli, ==, all.cpu_milli / 2);
+  g_assert_cmpfloat (rest.used_cpu_milli, ==, 0);
+  g_assert_cmpfloat (coord_best_effort_cores (f.c), <, cores);
+  evacuate (f.c, "A", "B");
+  g_assert_cmpfloat (coord_best_effort_cores (f.c), ==, 0);
+  evacuate (f.c, NULL, NULL);
+  g_assert_cmpfloat (coord_best_effort_cores (f.c), ==, cores);
+  fixture_finish (&f);
+}
+
+/* Guards against a job that is lost or refused while nothing can run: it
+   waits, and starts once the domain is restored. */
+static void
+work_that_fits_nowhere_waits (void)
+{
+  struct fixture f;
+
+  fixture_init (&f);
+  report_both (&f);
+  evacuate (f.c, "A", "B");
+  submit (&f, JOB, 0);
+  for (int i = 0; i < REPORTS; i++)
+    report_both (&f);
+  g_assert_cmpint (f.a.starts + f.b.starts, ==, 0);
+  evacuate (f.c, "A", NULL);
+  test_run_until (two_started_at_b, &f);
+  fixture_finish (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -358,5 +407,7 @@
   ADD (successors_wait_until_they_know_the_domains);
   ADD (successors_confirm_an_old_set);
   ADD (successors_use_a_recent_set);
+  ADD (evacuated_capacity_does_not_count);
+  ADD (work_that_fits_nowhere_waits);
   return g_test_run ();
 }
