Move service tasks out of evacuated domains

Cause: service tasks run until they are stopped, so they stayed in an evacuated domain.

Change: a service task there is stopped, and starts elsewhere, if all tasks of its step serve and another instance has room and would be chosen. Nothing moves while commits fail.

Result: /evacuate/service_tasks_move_one_at_a_time and service_tasks_stay_without_room_elsewhere.

--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -79,6 +79,7 @@
   coord_stragglers_check (c, now);
   coord_drain (c, now);
   coord_best_effort_relocate (c, now);
+  coord_evacuate (c, now);
   coord_consolidate (c, now);
   coord_waiting_report (c, now);
   coord_pass_schedule (c);
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -217,10 +217,10 @@
   struct hk_timer predecessor_timer;
   TAILQ_HEAD (coord_predecessor_list, coord_predecessor) predecessors;
   int64_t predecessor_ceased_ms; /* last answer of one that it does not lead */
-  int64_t consolidated_ms;     /* last time service tasks were consolidated */
-  gboolean silent_in_flight;   /* the commit in flight has a list of them */
-  int64_t silent_written_ms;   /* when the last list was built */
-  int64_t waiting_reported_ms; /* last report of tasks that wait */
+  int64_t moved_ms;              /* last move of a service task */
+  gboolean silent_in_flight;     /* the commit in flight has a list of them */
+  int64_t silent_written_ms;     /* when the last list was built */
+  int64_t waiting_reported_ms;   /* last report of tasks that wait */
   struct hk_crash_domain crash_domain;
   int64_t give_up_at_ms; /* the earliest of all tasks; 0 if none */
 
@@ -413,12 +413,23 @@
 void coord_evacuations_finish (struct coord_evacuations *e);
 /* Whether this coordinator knows in which domains nothing may start. */
 gboolean coord_evacuations_known (struct hk_coord *c);
+/* Moves one service task out of an evacuated domain, if another instance has
+   room for it. */
+void coord_evacuate (struct hk_coord *c, int64_t now);
 void coord_evacuation_apply (struct hk_coord *c, struct hk_instance *in);
 
 /* coord_drain.c */
 void coord_drain (struct hk_coord *c, int64_t now);
 
 /* coord_consolidate.c */
+/* Whether all tasks of a step serve, so that a move makes only one of them
+   unavailable. */
+gboolean coord_step_serves (const struct hk_engine_step *step, int64_t now);
+/* Whether a service task may be moved now, as the last move is long enough
+   ago. */
+gboolean coord_move_due (struct hk_coord *c, int64_t now);
+/* Stops a run whose task is to start on another instance. */
+void coord_move_begin (struct hk_coord *c, struct hk_run *run, int64_t now);
 void coord_consolidate (struct hk_coord *c, int64_t now);
 
 /* coord_waiting.c */
--- a/src/coord/coord_consolidate.c
+++ b/src/coord/coord_consolidate.c
@@ -15,8 +15,8 @@
 
 /* Whether all tasks of the step serve, so that a move makes only one of them
    unavailable. */
-static gboolean
-all_tasks_serving (const struct hk_engine_step *step, int64_t now)
+gboolean
+coord_step_serves (const struct hk_engine_step *step, int64_t now)
 {
   for (unsigned i = 0; i < step->spec->count; i++)
     {
@@ -70,7 +70,23 @@
 
   return (step->spec->flags & HK_STEP_SERVICE) && step->spec->target_ms > 0
          && !run->instance->draining && hk_engine_job_active (step->job)
-         && all_tasks_serving (step, now);
+         && coord_step_serves (step, now);
+}
+
+gboolean
+coord_move_due (struct hk_coord *c, int64_t now)
+{
+  return now - c->moved_ms >= MOVE_INTERVAL_MS && c->engine.n_dirty == 0
+         && coord_leadership_proven (c, now);
+}
+
+void
+coord_move_begin (struct hk_coord *c, struct hk_run *run, int64_t now)
+{
+  c->moved_ms = now;
+  hk_engine_run_stop (run);
+  if (run->instance->link)
+    coord_link_reply (run->instance->link, FALSE);
 }
 
 void
@@ -79,10 +95,8 @@
   struct hk_instance *in;
   struct hk_run *run;
 
-  if (now - c->consolidated_ms < MOVE_INTERVAL_MS || c->engine.n_dirty > 0
-      || !coord_leadership_proven (c, now))
+  if (!coord_move_due (c, now))
     return;
-  c->consolidated_ms = now;
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
   LIST_FOREACH (run, &in->runs, link)
   {
@@ -92,8 +106,7 @@
             "event=consolidated step=%u index=%u run=%u image=%s",
             run->task->step->index, run->task->index, run->number,
             run->task->step->spec->image);
-    hk_engine_run_stop (run);
-    coord_link_reply (in->link, FALSE);
+    coord_move_begin (c, run, now);
     return;
   }
 }
--- a/src/coord/coord_evacuate.c
+++ b/src/coord/coord_evacuate.c
@@ -4,6 +4,8 @@
    not answer. */
 #include "coord.h"
 
+#include "hyssopkeel/job_placement.h"
+
 /* A set that was confirmed longer before the takeover is confirmed again
    before anything is placed: this process may have been suspended since. The
    adapter confirms it about once a second. */
@@ -156,3 +158,60 @@
   coord_links_reply (c);
   coord_pass_schedule (c);
 }
+
+static gboolean
+has_other_instance (struct hk_coord *c, const struct hk_run *run, int64_t now)
+{
+  struct hk_job_place_need need = coord_place_need (run->task->step);
+  struct hk_instance *in;
+  double score;
+
+  TAILQ_FOREACH (in, &c->engine.instance_list, next)
+  {
+    struct hk_job_place_view v = { 0 };
+
+    if (in != run->instance && coord_task_fits (c, &v, in, run->task, now)
+        && hk_job_place_score (&v, &need, &score))
+      return TRUE;
+  }
+  return FALSE;
+}
+
+/* Tasks that end by themselves run to completion there, and a draining
+   instance has moves of its own. */
+static gboolean
+should_move (struct hk_coord *c, const struct hk_run *run, int64_t now)
+{
+  const struct hk_engine_step *step = run->task->step;
+
+  return (step->spec->flags & HK_STEP_SERVICE) && !run->to_stop
+         && !run->instance->draining && hk_engine_job_active (step->job)
+         && coord_step_serves (step, now) && has_other_instance (c, run, now);
+}
+
+void
+coord_evacuate (struct hk_coord *c, int64_t now)
+{
+  struct hk_instance *in;
+  struct hk_run *run;
+
+  if (g_hash_table_size (c->evacuations.domains) == 0
+      || coord_store_failing (c, now) || !coord_move_due (c, now))
+    return;
+  TAILQ_FOREACH (in, &c->engine.instance_list, next)
+  {
+    if (!in->evacuated)
+      continue;
+    LIST_FOREACH (run, &in->runs, link)
+    if (should_move (c, run, now))
+      {
+        hk_log (HK_LOG_INFO, "drain", in->name, run->task->step->job->spec.id,
+                "event=service_evacuated step=%u index=%u run=%u domain=%.64s "
+                "set_age_ms=%" G_GINT64_FORMAT,
+                run->task->step->index, run->task->index, run->number,
+                in->domain, now - c->evacuations.confirmed_ms);
+        coord_move_begin (c, run, now);
+        return;
+      }
+  }
+}
--- a/tests/coord/test_evacuate.c
+++ b/tests/coord/test_evacuate.c
@@ -5,6 +5,7 @@
 
 #include "../../src/coord/coord.h"
 #include "coord_support.h"
+#include "hyssopkeel/clock.h"
 #include "hyssopkeel/log.h"
 
 #define JOB "1111111111111111"
@@ -13,6 +14,8 @@
 /* Longer than a set that was confirmed before a takeover counts. */
 #define STALE_MS 2300
 #define COMMIT_WAIT_MS 50
+/* Longer than a service task is left alone after its start. */
+#define SERVED_MS 3600
 
 struct fixture
 {
@@ -391,6 +394,114 @@
   fixture_finish (&f);
 }
 
+/* The service tasks of an agent serve from its next report on. */
+static void
+mark_serving (struct agent *a)
+{
+  for (unsigned i = 0; i < a->n_runs; i++)
+    a->runs[i].percent = 100;
+}
+
+/* The runs serve for longer than a task is left alone after its start. */
+static void
+let_serve (struct fixture *f)
+{
+  int64_t until = hk_clock_ms () + SERVED_MS;
+
+  while (hk_clock_ms () < until)
+    {
+      mark_serving (&f->a);
+      mark_serving (&f->b);
+      report_both (f);
+    }
+}
+
+static gboolean
+one_stopped_at_a (void *user)
+{
+  struct fixture *f = user;
+
+  report_both (f);
+  return f->a.stops >= 1;
+}
+
+/* Runs the service of the job in domain A, as B drains at first. */
+static void
+serve_at_a (struct fixture *f)
+{
+  fixture_init (f);
+  f->b.draining = TRUE;
+  report_both (f);
+  submit (f, JOB, HK_STEP_SERVICE);
+  test_run_until (two_started, &f->a);
+}
+
+static void
+end_stopped (struct agent *a)
+{
+  unsigned kept = a->runs[0].task.index == a->stopped_index;
+
+  a->ends[0] = (hk_run_end){ .task = a->runs[1 - kept].task,
+                             .run = a->runs[1 - kept].run,
+                             .how = HK_END_STOPPED,
+                             .checkpoint = (char *)"" };
+  a->n_ends = 1;
+  a->runs[0] = a->runs[kept];
+  a->n_runs = 1;
+  report (a);
+  a->n_ends = 0;
+}
+
+static gboolean
+one_started_at_b (void *user)
+{
+  struct fixture *f = user;
+
+  report_both (f);
+  return f->b.starts >= 1;
+}
+
+/* Guards against service tasks that stay in the domain, or that are all
+   stopped at once: one moves, and the next only when all tasks serve again. */
+static void
+service_tasks_move_one_at_a_time (void)
+{
+  struct fixture f;
+
+  serve_at_a (&f);
+  f.b.draining = FALSE;
+  let_serve (&f);
+  g_assert_cmpint (f.a.stops, ==, 0);
+  evacuate (f.c, "A", NULL);
+  test_run_until (one_stopped_at_a, &f);
+  end_stopped (&f.a);
+  f.a.stops = 0;
+  test_run_until (one_started_at_b, &f);
+  for (int i = 0; i < REPORTS; i++)
+    report_both (&f);
+  g_assert_cmpint (f.a.stops, ==, 0);
+  let_serve (&f);
+  test_run_until (one_stopped_at_a, &f);
+  fixture_finish (&f);
+}
+
+/* Guards against a service task that is stopped although no other instance has
+   room for it. */
+static void
+service_tasks_stay_without_room_elsewhere (void)
+{
+  struct fixture f;
+
+  serve_at_a (&f);
+  report_both (&f);
+  evacuate (f.c, "A", "B");
+  f.b.draining = FALSE;
+  let_serve (&f);
+  g_assert_cmpint (f.a.stops, ==, 0);
+  g_assert_cmpint (f.b.starts, ==, 0);
+  fixture_finish (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -409,5 +520,7 @@
   ADD (successors_use_a_recent_set);
   ADD (evacuated_capacity_does_not_count);
   ADD (work_that_fits_nowhere_waits);
+  ADD (service_tasks_move_one_at_a_time);
+  ADD (service_tasks_stay_without_room_elsewhere);
   return g_test_run ();
 }
