--- a/src/coord/coord_evacuate.c
+++ b/src/coord/coord_evacuate.c
@@ -58,6 +58,16 @@
   in->changes++;
 }
 
+/* Names are the operator's; Prometheus escapes labels as C does. */
+static void
+export_domain (const char *domain, gboolean evacuated)
+{
+  g_autofree char *escaped = g_strescape (domain, NULL);
+  g_autofree char *label = g_strdup_printf ("domain=\"%s\"", escaped);
+
+  hk_metric_get ("hyssopkeel_domain_evacuated", label)->value = evacuated;
+}
+
 /* Removes the domains that @list lacks. Returns whether there were any. */
 static gboolean
 restore_domains (struct coord_evacuations *e, const struct hk_evacuation *list,
@@ -82,6 +92,7 @@
               "event=domain_restored domain=%.64s revision=%" G_GINT64_FORMAT
               " evacuated_at=%" G_GINT64_FORMAT " after_ms=%" G_GINT64_FORMAT,
               (const char *)key, revision, old->revision, now - old->since_ms);
+      export_domain (key, FALSE);
       g_hash_table_iter_remove (&iter);
       changed = TRUE;
     }
@@ -112,6 +123,7 @@
       new->since_ms = now;
       g_hash_table_insert (e->domains, g_strdup (list[i].domain), new);
       changed = TRUE;
+      export_domain (list[i].domain, TRUE);
       hk_log (HK_LOG_INFO, "coord", NULL, NULL,
               "event=domain_evacuated domain=%.64s revision=%" G_GINT64_FORMAT
               " read_at=%" G_GINT64_FORMAT
@@ -149,9 +161,8 @@
   changed = evacuate_domains (e, list, n, revision, now) || changed;
   e->confirmed_ms = now;
   e->revision = revision;
-  if (changed)
-    hk_metric_get ("hyssopkeel_evacuated_domains", "")->value
-        = g_hash_table_size (e->domains);
+  hk_metric_get ("hyssopkeel_evacuations_read_seconds", "")->value
+      = (double)coord_wall_ms () / 1000.0;
   if ((!changed && was_known) || c->state != COORD_LEADING)
     return;
   instances_update (c, now);
