Spread starts in a restored domain

Cause: the endpoints of a domain may be cold when the operator restores it, and all tasks that wait would start there at once.

Change: for 5 s after a domain was restored, each of its instances gets one start per 250 ms. It is state of the coordinator alone, so there is no ramp after a takeover; coldLeftMs of the endpoints' reports is not read yet. Domains that were never evacuated are not affected.

Result: /evacuate/starts_in_a_restored_domain_are_spread; without the limit, two tasks start at once.

--- a/include/hyssopkeel/engine.h
+++ b/include/hyssopkeel/engine.h
@@ -263,6 +263,8 @@
  * @capacity_known: the agent has reported pool, labels and capacity.
  * @draining: no new runs may start.
  * @evacuated: its failure domain is evacuated: no new runs may start.
+ * @ramp_until_ms: its domain was restored; starts are spread until then.
+ * @placed_ms: time at which a run was last placed here; 0 if never.
  * @leaving: the agent or its endpoint is about to stop.
  * @drain_until_ms: deadline of the drain; its runs end with the instance.
  * @cpu_milli: CPUs, milli.
@@ -308,6 +310,8 @@
   gboolean capacity_known;
   gboolean draining;
   gboolean evacuated;
+  int64_t ramp_until_ms;
+  int64_t placed_ms;
   gboolean leaving;
   int64_t drain_until_ms;
   unsigned cpu_milli;
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -48,6 +48,7 @@
   COORD_WAIT_EVACUATED, /* its failure domain is evacuated */
   COORD_WAIT_UNREAD,    /* the evacuated domains have not been read yet */
   COORD_WAIT_MISMATCH,  /* another pool or label */
+  COORD_WAIT_RAMP,      /* its domain was restored; starts are spread */
   COORD_WAIT_PAUSED,    /* it refused a start */
   COORD_WAIT_APART,     /* suspects of crashes run apart from others */
   COORD_WAIT_FULL,
@@ -417,6 +418,8 @@
    room for it. */
 void coord_evacuate (struct hk_coord *c, int64_t now);
 void coord_evacuation_apply (struct hk_coord *c, struct hk_instance *in);
+/* Whether the next start on an instance of a restored domain has to wait. */
+gboolean coord_evacuation_ramps (const struct hk_instance *in, int64_t now);
 
 /* coord_drain.c */
 void coord_drain (struct hk_coord *c, int64_t now);
--- a/src/coord/coord_candidates.c
+++ b/src/coord/coord_candidates.c
@@ -100,6 +100,8 @@
   if (strcmp (in->pool, step->job->spec.pool) != 0
       || !has_label (in, step->spec->label))
     return COORD_WAIT_MISMATCH;
+  if (coord_evacuation_ramps (in, now))
+    return COORD_WAIT_RAMP;
   return in->refused_until_ms > now ? COORD_WAIT_PAUSED : COORD_WAIT_NONE;
 }
 
@@ -116,7 +118,7 @@
                struct hk_instance *in, struct hk_engine_step *step,
                int64_t now)
 {
-  v->usable = TRUE;
+  v->usable = !coord_evacuation_ramps (in, now);
   v->cpu_milli = in->cpu_milli;
   v->cpu_free_milli = (int64_t)in->cpu_milli - in->used_cpu_milli;
   v->memory_free_mb = (int64_t)in->memory_mb - in->used_memory_mb;
--- a/src/coord/coord_evacuate.c
+++ b/src/coord/coord_evacuate.c
@@ -10,6 +10,12 @@
    before anything is placed: this process may have been suspended since. The
    adapter confirms it about once a second. */
 #define CONFIRMED_BEFORE_TAKEOVER_MS 2000
+/* The endpoints of a restored domain may be cold: for RAMP_MS each gets one
+   start per RAMP_INTERVAL_MS, so that the tasks which wait do not all start on
+   them at once. Both are short beside the 3 s for which a job may have nothing
+   running. */
+#define RAMP_MS 5000
+#define RAMP_INTERVAL_MS 250
 
 struct coord_evacuation
 {
@@ -55,9 +61,16 @@
   if (in->evacuated == evacuated)
     return;
   in->evacuated = evacuated;
+  in->ramp_until_ms = evacuated ? 0 : hk_clock_ms () + RAMP_MS;
   in->changes++;
 }
 
+gboolean
+coord_evacuation_ramps (const struct hk_instance *in, int64_t now)
+{
+  return now < in->ramp_until_ms && now - in->placed_ms < RAMP_INTERVAL_MS;
+}
+
 /* Names are the operator's; Prometheus escapes labels as C does. */
 static void
 export_domain (const char *domain, gboolean evacuated)
--- a/src/coord/coord_waiting.c
+++ b/src/coord/coord_waiting.c
@@ -15,7 +15,7 @@
   [COORD_WAIT_FULL] = "full",           [COORD_WAIT_UNRELIABLE] = "unreliable",
   [COORD_WAIT_HEADROOM] = "headroom",   [COORD_WAIT_SLOW] = "slow",
   [COORD_WAIT_SATURATED] = "saturated", [COORD_WAIT_EVACUATED] = "evacuated",
-  [COORD_WAIT_UNREAD] = "unread",
+  [COORD_WAIT_UNREAD] = "unread",       [COORD_WAIT_RAMP] = "ramp",
 };
 
 /* What one report has found so far. */
--- a/src/engine/engine.c
+++ b/src/engine/engine.c
@@ -329,6 +329,7 @@
   struct hk_run *run = engine_run_new (task, in, ++task->last_run);
 
   run->placed_ms = now_ms;
+  in->placed_ms = now_ms;
   run->instance_start_time_ms = in->start_time_ms;
   if (task->state == HK_TASK_WAITING)
     {
--- a/tests/coord/test_evacuate.c
+++ b/tests/coord/test_evacuate.c
@@ -76,6 +76,15 @@
   g_assert_cmpint (r.outcome, ==, HK_JOB_REQUEST_DONE);
 }
 
+static gboolean
+one_started_at_b (void *user)
+{
+  struct fixture *f = user;
+
+  report_both (f);
+  return f->b.starts >= 1;
+}
+
 static gboolean
 two_started_at_b (void *user)
 {
@@ -394,6 +403,23 @@
   fixture_finish (&f);
 }
 
+/* Guards against a burst of starts on endpoints that are cold. */
+static void
+starts_in_a_restored_domain_are_spread (void)
+{
+  struct fixture f;
+
+  fixture_init (&f);
+  evacuate (f.c, "A", "B");
+  report_both (&f);
+  submit (&f, JOB, 0);
+  evacuate (f.c, "A", NULL);
+  test_run_until (one_started_at_b, &f);
+  g_assert_cmpint (f.b.starts, ==, 1);
+  test_run_until (two_started_at_b, &f);
+  fixture_finish (&f);
+}
+
 /* The service tasks of an agent serve from its next report on. */
 static void
 mark_serving (struct agent *a)
@@ -452,15 +478,6 @@
   a->n_ends = 0;
 }
 
-static gboolean
-one_started_at_b (void *user)
-{
-  struct fixture *f = user;
-
-  report_both (f);
-  return f->b.starts >= 1;
-}
-
 /* Guards against service tasks that stay in the domain, or that are all
    stopped at once: one moves, and the next only when all tasks serve again. */
 static void
@@ -520,6 +537,7 @@
   ADD (successors_use_a_recent_set);
   ADD (evacuated_capacity_does_not_count);
   ADD (work_that_fits_nowhere_waits);
+  ADD (starts_in_a_restored_domain_are_spread);
   ADD (service_tasks_move_one_at_a_time);
   ADD (service_tasks_stay_without_room_elsewhere);
   return g_test_run ();
