--- a/src/coord/coord_candidates.c
+++ b/src/coord/coord_candidates.c
@@ -100,6 +100,8 @@
   if (strcmp (in->pool, step->job->spec.pool) != 0
       || !coord_has_label (in, step->spec->label))
     return COORD_WAIT_MISMATCH;
+  if (coord_evacuation_ramps (in, now))
+    return COORD_WAIT_RAMP;
   return in->refused_until_ms > now ? COORD_WAIT_PAUSED : COORD_WAIT_NONE;
 }
 
@@ -116,7 +118,7 @@
                struct hk_instance *in, struct hk_engine_step *step,
                int64_t now)
 {
-  v->usable = TRUE;
+  v->usable = !coord_evacuation_ramps (in, now);
   v->cpu_milli = in->cpu_milli;
   v->cpu_free_milli = (int64_t)in->cpu_milli - in->used_cpu_milli;
   v->memory_free_mb = (int64_t)in->memory_mb - in->used_memory_mb;
@@ -225,7 +227,7 @@
   p->instances = c->candidate_instances;
   p->scores = c->candidate_scores;
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
-  if (in->capacity_known)
+  if (in->capacity_known && !in->evacuated)
     {
       p->cpu_milli += in->cpu_milli;
       if (is_in_touch (in, now))
