Keep the interval of searches for tasks to consolidate

The pace of moves that evacuations share left the search itself to run with each tick, 100 ms, where it ran every 250 ms before. It looks at all pairs of service runs and instances.

--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -227,6 +227,7 @@
   struct hk_timer predecessor_timer;
   TAILQ_HEAD (coord_predecessor_list, coord_predecessor) predecessors;
   int64_t predecessor_ceased_ms; /* last answer of one that it does not lead */
+  int64_t consolidated_ms;       /* last search for a task to consolidate */
   int64_t moved_ms;              /* last move of a service task */
   gboolean silent_in_flight;     /* the commit in flight has a list of them */
   int64_t silent_written_ms;     /* when the last list was built */
--- a/src/coord/coord_consolidate.c
+++ b/src/coord/coord_consolidate.c
@@ -95,8 +95,10 @@
   struct hk_instance *in;
   struct hk_run *run;
 
-  if (!coord_move_due (c, now))
+  /* The search looks at all pairs of runs and instances. */
+  if (now - c->consolidated_ms < MOVE_INTERVAL_MS || !coord_move_due (c, now))
     return;
+  c->consolidated_ms = now;
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
   LIST_FOREACH (run, &in->runs, link)
   {
