Soak tasks with data on a rack

`--racks': jobs name one of two racks, six in ten the first; workers report theirs and take three times as long for tasks with data on the other one; entries have remote_factor 3. Without it bodies, reports and run times are as before; the settings of entries have remote_factor 0, the default.

--- a/tests/soak/clients.c
+++ b/tests/soak/clients.c
@@ -209,7 +209,7 @@
 static void
 job_submit (struct soak_job *job)
 {
-  g_autofree char *body = soak_job_body (job->kind, job->id);
+  g_autofree char *body = soak_job_body (job->kind, job->id, job->c->racks);
 
   job->attempts++;
   request_send (job->c, NULL, job, "POST", body, on_submit_reply);
@@ -385,7 +385,7 @@
     request_send (c, entry, NULL, "GET", NULL, NULL);
   else if (kind == 1)
     {
-      g_autofree char *body = soak_job_body (job->kind, job->id);
+      g_autofree char *body = soak_job_body (job->kind, job->id, c->racks);
 
       request_send (c, entry, job, "POST", body, NULL);
     }
--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -70,6 +70,7 @@
  * @submit_deadly: whether some jobs have such a task.
  * @submit_lasting: some jobs last, and some are best-effort work.
  * @odd: jobs have specs and images that are odd, and not deadly.
+ * @racks: jobs have their data on a rack.
  */
 struct soak_clients
 {
@@ -95,6 +96,7 @@
   gboolean submit_deadly;
   gboolean submit_lasting;
   gboolean odd;
+  gboolean racks;
 };
 
 /** soak_clients_init() - prepare clients that know no entry yet. */
--- a/tests/soak/runs.c
+++ b/tests/soak/runs.c
@@ -143,7 +143,7 @@
 /* Most runs are short; one in eight takes seconds, half of these without
    progress that the lists show. */
 static void
-plan_run (struct run *run)
+plan_run (const struct soak_worker *w, struct run *run)
 {
   guint n = g_str_hash (run->task) + (guint)run->run_id * 2654435761U;
 
@@ -157,6 +157,8 @@
   else
     run->due_ms += n % 8 == 0 ? 1500 + n / 16 % 2500 : 100 + n / 16 % 400;
   run->stalls = n % 16 == 0 && !run->lasting;
+  if (w->racked && !run->lasting && soak_job_rack (run->task) != w->rack)
+    run->due_ms += (SOAK_REMOTE_FACTOR - 1) * (run->due_ms - run->started_ms);
 }
 
 /* The specification says what kind of work the run is. */
@@ -237,7 +239,7 @@
   read_spec (run, hk_json_str (body, "spec"));
   if (!run->filling)
     check_capacity (w);
-  plan_run (run);
+  plan_run (w, run);
   g_ptr_array_add (w->runs, run);
   soak_oracle_start (w->oracle, task, w->name, run->deadly, late);
   return NULL;
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -60,8 +60,9 @@
       "{\"role\":\"entry\",\"name\":\"%s\",\"domain\":\"d\",\"store\":\"%s\","
       "\"metrics\":\"%s\",\"rpc\":\"%s\",\"clients\":\"%s\","
       "\"readiness\":\"%s\",\"own_ms\":4000,\"grant_ms\":1000,"
-      "\"hold_ms\":1500}",
-      n->name, via, metrics, rpc, clients, ready);
+      "\"hold_ms\":1500,\"remote_factor\":%d}",
+      n->name, via, metrics, rpc, clients, ready,
+      s->clients.racks ? SOAK_REMOTE_FACTOR : 0);
   write_settings (s, n, text);
   n->entry = soak_clients_add_entry (&s->clients, clients);
 }
@@ -81,6 +82,8 @@
   soak_worker_start (n->worker, n->name, reports, &s->oracle,
                      s->seed * 1009U + i);
   n->worker->odd = s->clients.odd;
+  n->worker->racked = s->clients.racks;
+  n->worker->rack = i % SOAK_RACKS;
   n->store_link = relay_new (n->name, via, s->store.address);
   /* A relay accepts connections also while the worker is down; connected
      directly, an agent is refused. */
@@ -246,6 +249,8 @@
             "Orders may be carried out seconds later", NULL },
           { "odd", 0, 0, G_OPTION_ARG_NONE, &s.clients.odd,
             "Odd and long texts in jobs, lists and reports", NULL },
+          { "racks", 0, 0, G_OPTION_ARG_NONE, &s.clients.racks,
+            "Jobs have their data on a rack", NULL },
           { "deadly", 0, 0, G_OPTION_ARG_NONE, &s.clients.submit_deadly,
             "Some jobs have a task that crashes its workers", NULL },
           { "chain", 0, 0, G_OPTION_ARG_INT, &s.chain.interval_ms,
--- a/tests/soak/specs.c
+++ b/tests/soak/specs.c
@@ -62,8 +62,14 @@
   return ms < LIFETIME_KEPT_MS ? (unsigned)ms : 0;
 }
 
-char *
-soak_job_body (enum soak_job_kind kind, const char *id)
+unsigned
+soak_job_rack (const char *id)
+{
+  return g_ascii_isdigit (*id) ? 0 : 1;
+}
+
+static char *
+job_body (enum soak_job_kind kind, const char *id)
 {
   guint image = g_str_hash (id) % SOAK_IMAGES;
 
@@ -89,3 +95,18 @@
                                                       : "text");
     }
 }
+
+char *
+soak_job_body (enum soak_job_kind kind, const char *id, gboolean racks)
+{
+  g_autofree char *body = job_body (kind, id);
+  g_autofree char *step = NULL;
+  g_auto (GStrv) parts = NULL;
+
+  if (!racks)
+    return g_steal_pointer (&body);
+  step = g_strdup_printf ("{\"affinity\":\"r%u\",\"count\":",
+                          soak_job_rack (id));
+  parts = g_strsplit (body, "{\"count\":", -1);
+  return g_strjoinv (step, parts);
+}
--- a/tests/soak/specs.h
+++ b/tests/soak/specs.h
@@ -27,6 +27,11 @@
 /** Bound on the tail latency of work that lasts. */
 #define SOAK_TARGET_MS 200
 
+/** Number of racks, and run time of a task away from the rack of its data over
+ * its run time there. */
+#define SOAK_RACKS 2
+#define SOAK_REMOTE_FACTOR 3
+
 enum soak_job_kind
 {
   SOAK_JOB_PLAIN,
@@ -44,8 +49,12 @@
  */
 unsigned soak_job_lifetime_ms (GRand *rand);
 
+/** soak_job_rack() - number of the rack that holds the data of a job, by its
+ * id, hexadecimal; rack 0 holds that of ten in sixteen. */
+unsigned soak_job_rack (const char *id);
+
 /** soak_job_body() - JSON text that submits a job of a kind; newly allocated.
- * The id determines its image. */
-char *soak_job_body (enum soak_job_kind kind, const char *id);
+ * The id determines its image, and with @racks its rack. */
+char *soak_job_body (enum soak_job_kind kind, const char *id, gboolean racks);
 
 #endif
--- a/tests/soak/worker.c
+++ b/tests/soak/worker.c
@@ -156,14 +156,16 @@
 {
   g_autofree char *url = g_strdup_printf (
       "http://%s/api/Instances.Heartbeat/%s", w->reports, w->id);
+  g_autofree char *rack
+      = w->racked ? g_strdup_printf (",\"r%u\"", w->rack) : g_strdup ("");
   g_autofree char *text = g_strdup_printf (
       "{\"service\":\"pool\",\"address\":\"%s\",\"state\":\"ready\","
       "\"sequence\":%" G_GINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT
       ",\"clockMs\":%" G_GINT64_FORMAT
       ",\"capacity\":{\"cpu\":%u,\"memMb\":%d,\"gpu\":0},"
-      "\"labels\":[\"a\"]}",
+      "\"labels\":[\"a\"%s]}",
       w->address, ++w->report_count, w->start_time_ms,
-      soak_worker_clock_ms (w), w->cpu_milli, CAPACITY_MEMORY_MB);
+      soak_worker_clock_ms (w), w->cpu_milli, CAPACITY_MEMORY_MB, rack);
   g_autoptr (SoupMessage) msg = soup_message_new ("POST", url);
   g_autoptr (GBytes) bytes = g_bytes_new (text, strlen (text));
 
--- a/tests/soak/worker.h
+++ b/tests/soak/worker.h
@@ -24,6 +24,8 @@
  *               incarnation.
  * @odd: its lists have checkpoints of any length, and another writer sends odd
  *       reports in its name.
+ * @racked: it reports that it is on rack @rack, and tasks with data on another
+ *          take longer.
  * @cpu_milli: capacity.
  * @cpu_limit_milli: capacity before it shrank; allowed until @limit_until_ms.
  * @runs: struct run, ended ones included.
@@ -49,6 +51,8 @@
   int lost_replies;
   int late_orders;
   gboolean odd;
+  gboolean racked;
+  unsigned rack;
   unsigned cpu_milli;
   unsigned cpu_limit_milli;
   int64_t limit_until_ms;
