--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -63,8 +63,9 @@
       "{\"role\":\"entry\",\"name\":\"%s\",\"domain\":\"%s\",\"store\":\"%s\","
       "\"metrics\":\"%s\",\"rpc\":\"%s\",\"clients\":\"%s\","
       "\"readiness\":\"%s\",\"own_ms\":4000,\"grant_ms\":1000,"
-      "\"hold_ms\":1500}",
-      n->name, soak_domain_name (s, i), via, metrics, rpc, clients, ready);
+      "\"hold_ms\":1500,\"remote_factor\":%d}",
+      n->name, soak_domain_name (s, i), via, metrics, rpc, clients, ready,
+      s->clients.racks ? SOAK_REMOTE_FACTOR : 0);
   write_settings (s, n, text);
   n->entry = soak_clients_add_entry (&s->clients, clients);
 }
@@ -86,6 +87,8 @@
   n->worker->odd = s->clients.odd;
   n->worker->on_start = soak_evacuations_check;
   n->worker->user = s;
+  n->worker->racked = s->clients.racks;
+  n->worker->rack = i % SOAK_RACKS;
   n->store_link = relay_new (n->name, via, s->store.address);
   /* A relay accepts connections also while the worker is down; connected
      directly, an agent is refused. */
@@ -257,6 +260,8 @@
             "Orders may be carried out seconds later", NULL },
           { "odd", 0, 0, G_OPTION_ARG_NONE, &s.clients.odd,
             "Odd and long texts in jobs, lists and reports", NULL },
+          { "racks", 0, 0, G_OPTION_ARG_NONE, &s.clients.racks,
+            "Jobs have their data on a rack", NULL },
           { "deadly", 0, 0, G_OPTION_ARG_NONE, &s.clients.submit_deadly,
             "Some jobs have a task that crashes its workers", NULL },
           { "evacuate", 0, 0, G_OPTION_ARG_NONE, &s.evacuations.enabled,
