Release connections that clients close between requests

Cause: libsoup 3.2.3 never closes a connection whose client closes it after a response, while no further request has begun. Each such connection kept its descriptor and its memory until the process ended.

Change: a connection that ends before a request is complete is closed by the guard, and libsoup reads a malformed request from it, after which it releases its own part. What arrives after a rejection is discarded without the buffer from which libsoup reads.

Test: untrusted-closed, -agent_closed and -daemon_closed send 100 requests on a connection each.

--- a/src/rpc/http_conn.c
+++ b/src/rpc/http_conn.c
@@ -81,9 +81,37 @@
                                NULL);
 }
 
+/* libsoup 3.2.3 never closes a connection that ends or fails before a request
+   is complete. It closes one after a malformed request, to which it can't
+   respond any more. */
+static void
+feed_malformed (struct hk_http_conn *conn)
+{
+  static const char text[] = "-\r\n\r\n";
+
+  g_clear_pointer (&conn->in, g_byte_array_unref);
+  conn->in = g_byte_array_new ();
+  g_byte_array_append (conn->in, (const guint8 *)text, strlen (text));
+  conn->at = 0;
+  conn->ready = strlen (text);
+}
+
+/* Lets libsoup close its stream. */
+static void
+end_stream (struct hk_http_conn *conn, enum hk_guard_phase phase)
+{
+  conn->ready = 0;
+  if (phase == HK_GUARD_IDLE || phase == HK_GUARD_HEADER
+      || (phase == HK_GUARD_BODY && !conn->streamed))
+    feed_malformed (conn);
+  hk_http_stream_wake (conn->stream);
+}
+
 void
 hk_http_conn_reject (struct hk_http_conn *conn, const char *status)
 {
+  enum hk_guard_phase phase = conn->guard.phase;
+
   write_response (conn, status);
   shutdown (g_socket_get_fd (conn->socket), SHUT_WR);
   conn->eof = FALSE;
@@ -94,7 +122,7 @@
   hk_guard_enter (&conn->guard, HK_GUARD_LINGER);
   hk_http_conn_watch (conn);
   if (conn->stream)
-    hk_http_stream_wake (conn->stream);
+    end_stream (conn, phase);
 }
 
 void
@@ -103,8 +131,8 @@
   if (conn->stream)
     {
       close_socket (conn);
-      conn->ready = 0;
-      hk_http_stream_wake (conn->stream);
+      if (conn->guard.phase != HK_GUARD_LINGER)
+        end_stream (conn, conn->guard.phase);
     }
   else
     free_conn (conn);
--- a/src/rpc/http_receive.c
+++ b/src/rpc/http_receive.c
@@ -13,32 +13,42 @@
    closing a socket with unread bytes may discard the response. */
 #define LINGER_MAX_BYTES (1 << 20)
 
-/* Appends up to @max bytes to the buffer. Returns FALSE if none have arrived
-   or the connection is at its end. */
-static gboolean
-receive_bytes (struct hk_http_conn *conn, size_t max)
+static uint8_t buf[RECEIVE_BYTES];
+
+/* Receives up to @max bytes into @buf. Returns their number, or 0 if none have
+   arrived or the connection is at its end. */
+static size_t
+receive_some (struct hk_http_conn *conn, size_t max)
 {
-  static uint8_t buf[RECEIVE_BYTES];
   g_autoptr (GError) gerr = NULL;
   gssize n;
 
   if (conn->eof)
-    return FALSE;
+    return 0;
   n = g_socket_receive_with_blocking (
       conn->socket, (char *)buf, MIN (max, sizeof buf), FALSE, NULL, &gerr);
   if (n > 0)
-    {
-      if (!conn->in)
-        conn->in = g_byte_array_new ();
-      g_byte_array_append (conn->in, buf, (guint)n);
-      return TRUE;
-    }
+    return (size_t)n;
   if (n == 0 || !g_error_matches (gerr, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
     {
       conn->eof = TRUE;
       hk_watch_clear (&conn->watch);
     }
-  return FALSE;
+  return 0;
+}
+
+/* Appends up to @max bytes to the buffer of the connection. */
+static gboolean
+receive_bytes (struct hk_http_conn *conn, size_t max)
+{
+  size_t n = receive_some (conn, max);
+
+  if (n == 0)
+    return FALSE;
+  if (!conn->in)
+    conn->in = g_byte_array_new ();
+  g_byte_array_append (conn->in, buf, (guint)n);
+  return TRUE;
 }
 
 /* libsoup may get the received bytes of the request. */
@@ -61,8 +71,6 @@
 {
   if (!conn->eof)
     hk_http_conn_watch (conn);
-  else if (conn->stream)
-    hk_http_stream_wake (conn->stream);
   else
     hk_http_conn_end (conn);
 }
@@ -219,13 +227,11 @@
 static void
 receive_lingering (struct hk_http_conn *conn)
 {
-  while (receive_bytes (conn, RECEIVE_BYTES))
-    {
-      conn->lingered += conn->in->len;
-      g_byte_array_set_size (conn->in, 0);
-      if (conn->lingered > LINGER_MAX_BYTES)
-        break;
-    }
+  size_t n;
+
+  while (conn->lingered <= LINGER_MAX_BYTES
+         && (n = receive_some (conn, RECEIVE_BYTES)) > 0)
+    conn->lingered += n;
   if (conn->eof || conn->lingered > LINGER_MAX_BYTES)
     hk_http_conn_end (conn);
 }
--- a/src/rpc/http_stream.c
+++ b/src/rpc/http_stream.c
@@ -43,6 +43,13 @@
   gssize n = input->conn ? hk_http_conn_take (input->conn, buf, max) : 0;
 
   (void)cancellable;
+  /* The end of a connection is an error for libsoup in any state. */
+  if (n == 0)
+    {
+      g_set_error_literal (gerr, G_IO_ERROR, G_IO_ERROR_CONNECTION_CLOSED,
+                           "the client has closed the connection");
+      return -1;
+    }
   if (n < 0)
     g_set_error_literal (gerr, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK,
                          "no complete request yet");
--- a/tests/platform/test_untrusted.c
+++ b/tests/platform/test_untrusted.c
@@ -22,6 +22,8 @@
 #define ORDINARY_LIMIT_MS 20000
 /* All connections have sent this much before one sends more. */
 #define FIRST_BYTES 60000
+/* Connections that are closed after their response. */
+#define HANG_UPS 100
 /* Samples after the ordinary request, for what was still unread then. */
 #define LAST_SAMPLES 100
 
@@ -311,6 +313,28 @@
   fixture_finish (&f);
 }
 
+/* Guards against a descriptor that stays open for each client that closes its
+   connection after a response: libsoup kept it. */
+static void
+closed_connections_leave_no_descriptors (gconstpointer data)
+{
+  const struct crowd *c = data;
+  unsigned limit;
+  struct fixture f;
+  int64_t end;
+
+  fixture_init (&f, c);
+  limit = open_descriptors (&f) + HANG_UPS / 2;
+  for (int i = 0; i < HANG_UPS; i++)
+    g_assert_true (is_answered (&f, ORDINARY_LIMIT_MS));
+  end = hk_clock_ms () + ORDINARY_LIMIT_MS;
+  while (open_descriptors (&f) >= limit && hk_clock_ms () < end)
+    crowd_run_loop ();
+  g_test_message ("descriptors=%u limit=%u", open_descriptors (&f), limit);
+  g_assert_cmpuint (open_descriptors (&f), <, limit);
+  fixture_finish (&f);
+}
+
 #define REQUEST_LINE "GET /q/ HTTP/1.1\r\nHost: h\r\n"
 #define FIELD "X-Field: 0123456789012345678901234567890123456789\r\n"
 #define BODY_HEADER(path)                                                     \
@@ -346,6 +370,12 @@
   { "daemon_connections", CROWD_DAEMON, 400, "", "x", 0, FDS_LIMIT },
 };
 
+static const struct crowd closing[] = {
+  { "closed", CROWD_ENTRY, 0, "", "", 0, 0 },
+  { "agent_closed", CROWD_AGENT, 0, "", "", 0, 0 },
+  { "daemon_closed", CROWD_DAEMON, 0, "", "", 0, 0 },
+};
+
 int
 main (int argc, char **argv)
 {
@@ -357,5 +387,11 @@
 
       g_test_add_data_func (path, &crowds[i], run_crowd);
     }
+  g_test_add_data_func ("/untrusted/closed", &closing[0],
+                        closed_connections_leave_no_descriptors);
+  g_test_add_data_func ("/untrusted/agent_closed", &closing[1],
+                        closed_connections_leave_no_descriptors);
+  g_test_add_data_func ("/untrusted/daemon_closed", &closing[2],
+                        closed_connections_leave_no_descriptors);
   return g_test_run ();
 }
