Test the loss of another domain during an evacuation

Change: /evacuate/another_domain_is_lost_meanwhile: with one domain evacuated and the only other instance silent, a job is accepted, nothing is placed, and it starts once that instance is back.

--- a/tests/coord/test_evacuate.c
+++ b/tests/coord/test_evacuate.c
@@ -11,6 +11,8 @@
 #define JOB "1111111111111111"
 #define JOB_2 "2222222222222222"
 #define REPORTS 6
+/* Reports of the one agent, 300 ms apart, after which the other is silent. */
+#define LOST_REPORTS 4
 /* Longer than a set that was confirmed before a takeover counts. */
 #define STALE_MS 2300
 #define COMMIT_WAIT_MS 50
@@ -403,6 +405,28 @@
   fixture_finish (&f);
 }
 
+/* Guards against starts in the evacuated domain because the other one is lost
+   meanwhile: the job is accepted, waits, and starts where it may. */
+static void
+another_domain_is_lost_meanwhile (void)
+{
+  struct fixture f;
+
+  fixture_init (&f);
+  report_both (&f);
+  evacuate (f.c, "A", NULL);
+  for (int i = 0; i < LOST_REPORTS; i++)
+    report (&f.a);
+  submit (&f, JOB, 0);
+  for (int i = 0; i < LOST_REPORTS; i++)
+    report (&f.a);
+  g_assert_cmpint (f.a.starts, ==, 0);
+  g_assert_cmpuint (hk_engine_job_find (&f.c->engine, JOB)->n_runs, ==, 0);
+  test_run_until (two_started_at_b, &f);
+  g_assert_cmpint (f.a.starts, ==, 0);
+  fixture_finish (&f);
+}
+
 /* Guards against a burst of starts on endpoints that are cold. */
 static void
 starts_in_a_restored_domain_are_spread (void)
@@ -537,6 +561,7 @@
   ADD (successors_use_a_recent_set);
   ADD (evacuated_capacity_does_not_count);
   ADD (work_that_fits_nowhere_waits);
+  ADD (another_domain_is_lost_meanwhile);
   ADD (starts_in_a_restored_domain_are_spread);
   ADD (service_tasks_move_one_at_a_time);
   ADD (service_tasks_stay_without_room_elsewhere);
