--- a/src/cli/cmd_status.c
+++ b/src/cli/cmd_status.c
@@ -62,6 +62,15 @@
   return obj;
 }
 
+static gboolean
+refuses (json_object *instance)
+{
+  json_object *flag = NULL;
+
+  return json_object_object_get_ex (instance, "refusing", &flag)
+         && json_object_get_boolean (flag);
+}
+
 static void
 print_instances (json_object *list, gboolean live)
 {
@@ -78,8 +87,7 @@
                  " revision=%" PRId64,
                  hk_json_int (m, "running"), hk_json_int (m, "slots"),
                  hk_json_int (m, "queued"), hk_json_int (m, "table_revision"));
-      if (json_object_object_get_ex (m, "refusing", &flag)
-          && json_object_get_boolean (flag))
+      if (refuses (m))
         g_print (" refusing");
       if (json_object_object_get_ex (m, "set_aside", &flag)
           && json_object_get_boolean (flag))
@@ -88,6 +96,38 @@
     }
 }
 
+/* Prints a line for each failure domain with instances that refuse new work.
+ */
+static void
+print_refusing_domains (json_object *list)
+{
+  g_autoptr (GHashTable) printed = g_hash_table_new (g_str_hash, g_str_equal);
+  size_t n = list ? json_object_array_length (list) : 0;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      json_object *m = json_object_array_get_idx (list, i);
+      const char *domain = hk_json_str (m, "domain");
+      unsigned total = 0;
+      unsigned refusing = 0;
+
+      if (!refuses (m) || !domain
+          || !g_hash_table_add (printed, (char *)domain))
+        continue;
+      for (size_t k = 0; k < n; k++)
+        {
+          json_object *other = json_object_array_get_idx (list, k);
+
+          if (g_strcmp0 (hk_json_str (other, "domain"), domain) != 0)
+            continue;
+          total++;
+          refusing += refuses (other);
+        }
+      g_print ("domain %s: %u of %u instances refuse new work\n", domain,
+               refusing, total);
+    }
+}
+
 static void
 print_status (json_object *status)
 {
@@ -108,6 +148,7 @@
       json_object_object_get_ex (live, "instances", &instances);
       g_print ("instances as %s sees them:\n", hk_json_str (live, "entry"));
       print_instances (instances, TRUE);
+      print_refusing_domains (instances);
       return;
     }
   g_print ("instances with a session in the store (give --entry URL for "
@@ -245,25 +286,87 @@
   return CLI_NOT_FOUND;
 }
 
+/* A session of an agent that was replaced stays until it expires; the last one
+   counts. */
+static gboolean
+has_later_session (const GPtrArray *sessions, guint i)
+{
+  const char *name = hk_json_str (g_ptr_array_index (sessions, i), "name");
+
+  while (++i < sessions->len)
+    if (g_strcmp0 (hk_json_str (g_ptr_array_index (sessions, i), "name"), name)
+        == 0)
+      return TRUE;
+  return FALSE;
+}
+
+/* Drains the instances one after the other. Goes on after a failure, so that
+   an agent that cannot be reached does not keep the others from draining, and
+   returns the last failure. */
+static int
+drain_domain (struct cli *cli, const char *domain, gboolean on)
+{
+  g_autoptr (GPtrArray) sessions = NULL;
+  struct hk_error err = { 0 };
+  int code = CLI_OK;
+  unsigned n = 0;
+
+  if (cli_read (cli, HK_KEY_SESSIONS, TRUE, &sessions, &err) < 0)
+    return cli_fail (&err);
+  for (guint i = 0; i < sessions->len; i++)
+    {
+      json_object *obj = g_ptr_array_index (sessions, i);
+      const char *name = hk_json_str (obj, "name");
+      const char *address = hk_json_str (obj, "address");
+      int rc;
+
+      if (!name || !address || has_later_session (sessions, i)
+          || g_strcmp0 (hk_json_str (obj, "domain"), domain) != 0)
+        continue;
+      n++;
+      rc = drain_instance (cli, name, address, on);
+      code = rc == CLI_OK ? code : rc;
+    }
+  if (n > 0)
+    return code;
+  g_printerr ("hyssopkeel: no instance of domain \"%s\" has a session in the "
+              "store; see hyssopkeel status\n",
+              domain);
+  return CLI_NOT_FOUND;
+}
+
 int
 cli_drain (struct cli *cli, int argc, char **argv)
 {
   g_autofree char *address = NULL;
+  g_autofree char *domain = NULL;
   gboolean undo = FALSE;
   GOptionEntry options[]
       = { { "address", 0, 0, G_OPTION_ARG_STRING, &address,
             "RPC address of its agent; by default looked up in the store",
             "IP:PORT" },
+          { "domain", 0, 0, G_OPTION_ARG_STRING, &domain,
+            "Drain all instances of a failure domain that have a session in "
+            "the store now",
+            "DOMAIN" },
           { "undo", 0, 0, G_OPTION_ARG_NONE, &undo,
             "Let the instance accept work again", NULL },
           { NULL } };
   int code = CLI_OK;
 
-  if (!cli_parse (&argc, &argv, options, "INSTANCE",
-                  "Drain an instance: it finishes its requests, requeues its "
-                  "jobs and accepts no new work.",
-                  1, 1))
+  if (!cli_parse (&argc, &argv, options, "[INSTANCE]",
+                  "Drain an instance, or with --domain all of a failure "
+                  "domain: each finishes its requests, requeues its jobs and "
+                  "accepts no new work.",
+                  0, 1))
     return CLI_USAGE;
+  if ((argc > 1) == (domain != NULL) || (domain && address))
+    {
+      g_printerr ("hyssopkeel: give either INSTANCE or --domain\n");
+      return CLI_USAGE;
+    }
+  if (domain)
+    return drain_domain (cli, domain, !undo);
   if (!address)
     code = look_up_address (cli, argv[1], &address);
   if (code != CLI_OK)
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -15,7 +15,8 @@
   { "show", "", "Print the current tables", cli_show },
   { "audit", "", "Print the audit trail of changes", cli_audit },
   { "status", "", "Print instances, jobs and revisions", cli_status },
-  { "drain", "INSTANCE", "Stop giving new work to an instance", cli_drain },
+  { "drain", "INSTANCE | --domain DOMAIN", "Stop giving new work to instances",
+    cli_drain },
   { "jobs", "submit|show|list|cancel ...", "Submit, show, list or cancel jobs",
     cli_jobs },
 };
