Shorten the ramp of a restored domain

Cause: with one start per 250 ms for 5 s, short tasks that had waited for the domain started at 13 a second on four instances, and jobs had nothing running for over 3 s although there was room.

Change: one start per 100 ms and instance for 1.5 s.

--- a/src/coord/coord_evacuate.c
+++ b/src/coord/coord_evacuate.c
@@ -12,10 +12,10 @@
 #define CONFIRMED_BEFORE_TAKEOVER_MS 2000
 /* The endpoints of a restored domain may be cold: for RAMP_MS each gets one
    start per RAMP_INTERVAL_MS, so that the tasks which wait do not all start on
-   them at once. Both are short beside the 3 s for which a job may have nothing
-   running. */
-#define RAMP_MS 5000
-#define RAMP_INTERVAL_MS 250
+   them at once. With 250 ms for 5 s, short tasks that had waited for the
+   domain stood still for over 3 s. */
+#define RAMP_MS 1500
+#define RAMP_INTERVAL_MS 100
 
 struct coord_evacuation
 {
