Refuse gangs and timed or repeated jobs

Cause: these are not implemented, and were accepted and run without the property. Their tasks started before their time, or waited for members that were not started with them and failed.

Change: a step with a gang of more than one task, and a job with a repeat count, are refused with 400; the reason names step and figure.

/submission_limits/what_is_not_supported_is_refused fails on the code before (200 in place of 400).

--- a/src/engine/engine_check.c
+++ b/src/engine/engine_check.c
@@ -23,6 +23,26 @@
   return HK_OK;
 }
 
+/* What is not implemented is rejected: run without the property, the tasks of
+   a gang would wait for each other until they fail, and occurrences would
+   start before their time. */
+static int
+check_supported (const hk_job_spec *spec, struct hk_error *err)
+{
+  if (spec->repeat > 0)
+    return FAIL ("repeat is %u: timed and repeated jobs are not supported",
+                 spec->repeat);
+  for (unsigned i = 0; i < spec->steps.steps_len; i++)
+    {
+      const hk_step_spec *step = &spec->steps.steps_val[i];
+
+      if ((step->flags & HK_STEP_GANG) && step->count > 1)
+        return FAIL ("step %u: a gang of %u tasks; gangs are not supported", i,
+                     step->count);
+    }
+  return HK_OK;
+}
+
 static int
 check_step (const hk_job_spec *spec, unsigned i, struct hk_error *err)
 {
@@ -64,6 +84,8 @@
   if (rc == HK_OK && tasks > JOB_TASKS_MAX)
     return FAIL ("the job has %" PRIu64 " tasks, at most %d are allowed",
                  tasks, JOB_TASKS_MAX);
+  if (rc == HK_OK)
+    rc = check_supported (spec, err);
   bytes = xdr_sizeof ((xdrproc_t)xdr_hk_job_spec, (void *)spec);
   if (rc == HK_OK && bytes > record_max_bytes)
     return FAIL ("the job takes %zu bytes in the store, at most %zu are "
--- a/tests/platform/test_limits.c
+++ b/tests/platform/test_limits.c
@@ -117,6 +117,39 @@
 #undef STEP
 }
 
+/* Guards against jobs that run without a property that they ask for: tasks of
+   a gang that wait for each other, and occurrences before their time. */
+static void
+what_is_not_supported_is_refused (void)
+{
+  static const struct
+  {
+    const char *body;
+    const char *expected; /* NULL if the job is accepted */
+  } bodies[] = {
+    { "{\"steps\":[{\"count\":2,\"cpu\":100,\"memMb\":1,\"gang\":true}]}",
+      "step 0: a gang of 2 tasks" },
+    { "{\"repeatCount\":3,\"startAtMs\":1,\"intervalMs\":500,"
+      "\"steps\":[{\"count\":1,\"cpu\":100,\"memMb\":1}]}",
+      "repeat is 3" },
+    { "{\"steps\":[{\"count\":1,\"cpu\":100,\"memMb\":1,\"gang\":true}]}",
+      NULL },
+  };
+  struct api_fixture f;
+
+  api_fixture_init (&f);
+  for (guint i = 0; i < G_N_ELEMENTS (bodies); i++)
+    {
+      unsigned status = api_send (&f, "POST", API_JOB_PATH, bodies[i].body);
+
+      g_test_message ("%s", f.body);
+      g_assert_cmpuint (status, ==, bodies[i].expected ? 400 : 200);
+      if (bodies[i].expected)
+        g_assert_nonnull (strstr (f.body, bodies[i].expected));
+    }
+  api_fixture_finish (&f);
+}
+
 /* Guards against a spec that reaches the endpoint cut off at U+0000. */
 static void
 specs_are_carried_whole (void)
@@ -204,6 +237,7 @@
   ADD (long_texts_are_carried_and_longer_ones_refused);
   ADD (successors_load_long_texts);
   ADD (odd_values_are_refused_with_their_names);
+  ADD (what_is_not_supported_is_refused);
   ADD (specs_are_carried_whole);
   ADD (specs_have_up_to_4000_bytes);
   ADD (jobs_over_the_limit_of_a_record_are_refused);
