--- a/src/coord/coord_follow.c
+++ b/src/coord/coord_follow.c
@@ -13,7 +13,7 @@
 #define LEADER_COMMIT_AGE_MAX_MS 1500
 /* A working watch reports progress within this time. It exceeds the wait of a
    watch request plus its time-out margin, 900 + 500 ms in
-   platform/kv_store.c. */
+   platform/kv_watch.c. */
 #define STORE_UNRESPONSIVE_MS 1600
 /* A follower's path to the store counts as better than the leader's only if
    the store last answered the follower more than this much later than the
