End the processes of the crowd tests with the test

A failed check left the processes that the test had started running. They now get SIGKILL when the test's process ends.

--- a/bench/untrusted.c
+++ b/bench/untrusted.c
@@ -10,7 +10,9 @@
    programs that have no such settings. */
 #include <gio/gio.h>
 #include <glib/gstdio.h>
+#include <signal.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -102,6 +104,7 @@
 limit_child (gpointer user)
 {
   (void)user;
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
   set_fds (ENTRY_FDS);
 }
 
--- a/tests/platform/test_untrusted.c
+++ b/tests/platform/test_untrusted.c
@@ -5,7 +5,9 @@
    Nothing depends on the speed of the machine. */
 #include <gio/gio.h>
 #include <glib/gstdio.h>
+#include <signal.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -97,12 +99,14 @@
 
 /* Start of the processes */
 
+/* The process ends with the test, also if that fails. */
 static void
-set_descriptor_limit (gpointer user)
+prepare_child (gpointer user)
 {
   const rlim_t *max = user;
   struct rlimit limit;
 
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
   if (*max == 0)
     return;
   getrlimit (RLIMIT_NOFILE, &limit);
@@ -120,7 +124,7 @@
   g_autoptr (GError) gerr = NULL;
   GSubprocess *child;
 
-  g_subprocess_launcher_set_child_setup (launcher, set_descriptor_limit,
+  g_subprocess_launcher_set_child_setup (launcher, prepare_child,
                                          (gpointer)fds, NULL);
   child = g_subprocess_launcher_spawnv (launcher, argv, &gerr);
   g_assert_no_error (gerr);
