Count unread RPC replies as held bytes

An RPC peer that sent calls and read no replies made the buffer of replies grow without a bound: one connection took a daemon to 1.5 GB in 8 s. A peer that never read all of its replies kept those that it had read in the buffer, too.

The buffer of replies now counts for the guard like the bytes of an unfinished record, so the budget bounds it, and a connection ends when nothing of its replies can be written for 60 s. What has been written is removed from the buffer.

--- a/include/hyssopkeel/rpc_conn.h
+++ b/include/hyssopkeel/rpc_conn.h
@@ -17,15 +17,16 @@
  * @opened: an outgoing connection is established; may be NULL.
  * @record: a complete record has arrived; a negative return value closes the
  *          connection.
- * @pending: called after each read with the number of bytes of a record that
- *           is not complete; must not close the connection; may be NULL.
+ * @pending: called after each read and write with the number of bytes of
+ *           records that are not complete, and of the buffer of what is sent;
+ *           must not close the connection; may be NULL.
  * @closed: the connection has failed or the peer has closed it.
  */
 struct hk_rpc_conn_ops
 {
   void (*opened) (struct hk_rpc_conn *conn);
   int (*record) (struct hk_rpc_conn *conn, const uint8_t *data, uint32_t len);
-  void (*pending) (struct hk_rpc_conn *conn, size_t bytes);
+  void (*pending) (struct hk_rpc_conn *conn, size_t in, size_t out);
   void (*closed) (struct hk_rpc_conn *conn, const struct hk_error *err);
 };
 
--- a/src/rpc/rpc_conn.c
+++ b/src/rpc/rpc_conn.c
@@ -66,6 +66,13 @@
   fail_connection (conn, err.code, step, err.text);
 }
 
+static void
+report_pending (struct hk_rpc_conn *conn)
+{
+  if (conn->ops->pending)
+    conn->ops->pending (conn, conn->in->len, conn->out->len);
+}
+
 /* Passes each complete record to the owner; stops if the callback closes the
    connection. */
 static void
@@ -111,8 +118,7 @@
     }
   else if (consumed > 0)
     g_byte_array_remove_range (conn->in, 0, (guint)consumed);
-  if (conn->ops->pending)
-    conn->ops->pending (conn, conn->in->len);
+  report_pending (conn);
 }
 
 static void on_ready (uint32_t events, void *user);
@@ -151,6 +157,23 @@
   read_available (conn);
 }
 
+/* A peer that always leaves some bytes unread must not make the buffer grow by
+   all that it reads. */
+static void
+discard_sent (struct hk_rpc_conn *conn)
+{
+  if (conn->out_offset == conn->out->len)
+    {
+      g_byte_array_unref (conn->out);
+      conn->out = g_byte_array_new ();
+    }
+  else if (conn->out_offset >= conn->out->len / 2)
+    g_byte_array_remove_range (conn->out, 0, (guint)conn->out_offset);
+  else
+    return;
+  conn->out_offset = 0;
+}
+
 /* Ignores write errors: the next read fails as well and reports them. */
 static void
 flush_output (struct hk_rpc_conn *conn)
@@ -169,14 +192,11 @@
       conn->out_offset += (gsize)n;
     }
   blocked = conn->out_offset < conn->out->len;
-  if (!blocked)
-    {
-      g_byte_array_set_size (conn->out, 0);
-      conn->out_offset = 0;
-    }
+  discard_sent (conn);
   if (blocked != conn->write_blocked)
     watch_socket (conn, blocked ? EPOLLIN | EPOLLOUT : EPOLLIN);
   conn->write_blocked = blocked;
+  report_pending (conn);
 }
 
 static void
@@ -222,6 +242,8 @@
   g_byte_array_append (conn->out, data, len);
   if (!conn->write_blocked)
     flush_output (conn);
+  else
+    report_pending (conn);
 }
 
 static void
--- a/src/rpc/rpc_server.c
+++ b/src/rpc/rpc_server.c
@@ -15,13 +15,14 @@
 #define RECORD_TIMEOUT_MS 60000
 
 /* An accepted connection. Freed once it is closed and each of its requests
-   has been replied to. */
+   has been replied to. @written: bytes of replies when @guard was updated. */
 struct hk_rpc_client
 {
   struct hk_guard_conn guard;
   struct hk_rpc_server *srv;
   struct hk_rpc_conn conn;
   uint64_t number;
+  uint64_t written;
   int refs;
   LIST_ENTRY (hk_rpc_client) link;
 };
@@ -61,12 +62,17 @@
 }
 
 static void
-on_pending (struct hk_rpc_conn *conn, size_t bytes)
+on_pending (struct hk_rpc_conn *conn, size_t in, size_t out)
 {
   struct hk_rpc_client *client = conn->user;
 
-  hk_guard_enter (&client->guard, bytes > 0 ? HK_GUARD_BODY : HK_GUARD_IDLE);
-  hk_guard_hold (&client->guard, bytes);
+  /* The time-out counts from the last bytes of replies that were written. */
+  if (conn->bytes_out != client->written)
+    hk_guard_enter (&client->guard, HK_GUARD_IDLE);
+  client->written = conn->bytes_out;
+  hk_guard_enter (&client->guard,
+                  in + out > 0 ? HK_GUARD_BODY : HK_GUARD_IDLE);
+  hk_guard_hold (&client->guard, in + out);
 }
 
 static void
--- a/tests/platform/test_untrusted.c
+++ b/tests/platform/test_untrusted.c
@@ -3,10 +3,12 @@
    are still open, checks that the process is alive, that its memory and open
    descriptors stayed under a bound, and that an ordinary request is answered.
    Nothing depends on the speed of the machine. */
+#include <errno.h>
 #include <gio/gio.h>
 #include <glib/gstdio.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "../soak/store.h"
@@ -24,6 +26,9 @@
 #define FIRST_BYTES 60000
 /* Connections that are closed after their response. */
 #define HANG_UPS 100
+/* Connections that read no replies to their calls, and bytes of calls each. */
+#define CALLERS 10
+#define CALLS_BYTES ((size_t)32 << 20)
 /* Samples after the ordinary request, for what was still unread then. */
 #define LAST_SAMPLES 100
 
@@ -335,6 +340,58 @@
   fixture_finish (&f);
 }
 
+/* A call of a program that does not exist. */
+static const uint8_t call[] = {
+  0x80, 0, 0, 40, 0, 0, 0, 7, 0, 0, 0, 0, 0, 0, 0, 2, 0, 0, 0, 1, 0, 0,
+  0,    1, 0, 0,  0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,
+};
+
+/* Returns whether the connection takes more calls; @sent counts their bytes.
+ */
+static gboolean
+send_calls (int fd, const GByteArray *calls, size_t *sent)
+{
+  size_t offset = *sent % calls->len;
+  ssize_t n = send (fd, calls->data + offset, calls->len - offset,
+                    MSG_NOSIGNAL | MSG_DONTWAIT);
+
+  if (n > 0)
+    *sent += (size_t)n;
+  return n > 0 ? *sent < CALLS_BYTES : errno == EAGAIN || errno == ENOTCONN;
+}
+
+/* Guards against memory that grows with replies that a peer does not read. */
+static void
+unread_replies_are_bounded (gconstpointer data)
+{
+  g_autoptr (GByteArray) calls = g_byte_array_new ();
+  int64_t end = hk_clock_ms () + CROWD_LIMIT_MS;
+  size_t sent[CALLERS] = { 0 };
+  int fds[CALLERS];
+  gboolean more = TRUE;
+  struct fixture f;
+
+  while (calls->len < FIRST_BYTES)
+    g_byte_array_append (calls, call, sizeof call);
+  fixture_init (&f, data);
+  for (int i = 0; i < CALLERS; i++)
+    fds[i] = crowd_connect (f.target);
+  while (more && hk_clock_ms () < end)
+    {
+      more = FALSE;
+      for (int i = 0; i < CALLERS; i++)
+        more = send_calls (fds[i], calls, &sent[i]) || more;
+      sample (&f);
+      crowd_run_loop ();
+    }
+  g_assert_true (check_process (&f));
+  g_test_message ("growth_kb=%ld", f.peak_kb - f.base_kb);
+  g_assert_cmpint (f.peak_kb - f.base_kb, <, GROWTH_MAX_KB);
+  for (int i = 0; i < CALLERS; i++)
+    close (fds[i]);
+  fixture_finish (&f);
+}
+
 #define REQUEST_LINE "GET /q/ HTTP/1.1\r\nHost: h\r\n"
 #define FIELD "X-Field: 0123456789012345678901234567890123456789\r\n"
 #define BODY_HEADER(path)                                                     \
@@ -376,6 +433,9 @@
   { "daemon_closed", CROWD_DAEMON, 0, "", "", 0, 0 },
 };
 
+static const struct crowd callers
+    = { "unread_replies", CROWD_ENTRY_RPC, 0, "", "", 0, 0 };
+
 int
 main (int argc, char **argv)
 {
@@ -393,5 +453,7 @@
                         closed_connections_leave_no_descriptors);
   g_test_add_data_func ("/untrusted/daemon_closed", &closing[2],
                         closed_connections_leave_no_descriptors);
+  g_test_add_data_func ("/untrusted/unread_replies", &callers,
+                        unread_replies_are_bounded);
   return g_test_run ();
 }
