Look at instances outside a large rack, and at all of its own

Cause: the candidates for a task with data on a rack are the instances of the rack first, always from the first on, up to the 256 that a pass may look at. If the first 256 are full, the task is placed neither on the others of the rack nor on another one, and stands still for as long as they stay full.

Change: a pass looks at 192 instances near the data at most, takes them in turn if the rack has more, and leaves the rest to other instances.

Result: test-locality_racks fails before in both tests with 264 instances on a rack, 256 of them full (the task isn't placed in two passes), and passes now. The other tests of locality pass as before.

--- a/src/coord/coord_candidates.c
+++ b/src/coord/coord_candidates.c
@@ -19,6 +19,9 @@
    IDLE_CPU_SHARE_MAX. The commit and the start follow within a second. */
 #define IDLE_MAX_MS 2000
 #define IDLE_CPU_SHARE_MAX 0.7
+/* Candidates near the data of a task. The rest is left to other instances, in
+   case the rack is full. */
+#define NEAR_CANDIDATES_MAX (HK_PASS_CANDIDATES_MAX * 3 / 4)
 /* A best-effort task is moved only to an instance that allows it at least this
    share of its full speed. */
 #define MOVE_SPEED_SHARE_MIN 0.85
@@ -304,6 +307,20 @@
   p->instances[p->n++] = in;
 }
 
+/* Instances of a rack are taken in turn if there are more of them. */
+static void
+collect_near (struct coord_pass *p, const struct hk_engine_task *task)
+{
+  struct coord_rack *rack = p->rack;
+  guint n = rack ? rack->instances->len : 0;
+  guint i;
+
+  for (i = 0; i < n && p->n < NEAR_CANDIDATES_MAX; i++)
+    add_candidate (p, task, rack->instances->pdata[(rack->first + i) % n]);
+  if (i < n)
+    rack->first = (rack->first + i) % n;
+}
+
 /* Candidates are those near the data first. The others are taken in turn if
    there are more than a pass may look at. */
 static void
@@ -313,11 +330,9 @@
   struct hk_instance *first
       = e->cursor ? e->cursor : TAILQ_FIRST (&e->instance_list);
   struct hk_instance *in = first;
-  guint n_near = p->rack ? p->rack->instances->len : 0;
 
   p->n = 0;
-  for (guint i = 0; i < n_near && p->n < HK_PASS_CANDIDATES_MAX; i++)
-    add_candidate (p, task, p->rack->instances->pdata[i]);
+  collect_near (p, task);
   while (in && p->n < HK_PASS_CANDIDATES_MAX)
     {
       if (!p->rack || !coord_is_near (in, task->step))
--- a/src/coord/coord_locality.h
+++ b/src/coord/coord_locality.h
@@ -8,11 +8,13 @@
 struct hk_coord;
 struct coord_pass;
 
-/* Instances with one label. The slots are those of short tasks, and those of
-   best-effort tasks, as computed in pass @slots_pass. */
+/* Instances with one label; a pass that takes them in turn begins with that at
+   index @first, modulo their number. The slots are those of short tasks, and
+   those of best-effort tasks, as computed in pass @slots_pass. */
 struct coord_rack
 {
   GPtrArray *instances; /* not owned */
+  guint first;
   struct hk_locality_queue queue;
   struct hk_locality_slots slots[2];
   uint64_t slots_pass[2];
--- a/tests/coord/locality_support.c
+++ b/tests/coord/locality_support.c
@@ -38,26 +38,40 @@
     }
 }
 
+struct hk_instance *
+add_instance (struct fixture *f, const char *labels)
+{
+  g_autofree char *name
+      = g_strdup_printf ("b%u", g_hash_table_size (f->c->engine.instances));
+
+  coord_locality_labels_changed (f->c);
+  return instance_new (f->c, name, labels);
+}
+
 void
 fixture_finish (struct fixture *f)
 {
-  for (unsigned i = 0; i < INSTANCES; i++)
-    {
-      struct coord_link *l = f->instances[i]->link;
+  struct hk_instance *in;
 
-      coord_sharing_finish (&l->sharing);
-      g_free (l);
-      f->instances[i]->link = NULL;
-    }
+  TAILQ_FOREACH (in, &f->c->engine.instance_list, next)
+  {
+    struct coord_link *l = in->link;
+
+    coord_sharing_finish (&l->sharing);
+    g_free (l);
+    in->link = NULL;
+  }
   hk_coord_free (f->c);
 }
 
 void
 advance (struct fixture *f, int64_t ms)
 {
+  struct hk_instance *in;
+
   f->now += ms;
-  for (unsigned i = 0; i < INSTANCES; i++)
-    f->instances[i]->last_report_ms = f->now;
+  TAILQ_FOREACH (in, &f->c->engine.instance_list, next)
+  in->last_report_ms = f->now;
 }
 
 void
--- a/tests/coord/locality_support.h
+++ b/tests/coord/locality_support.h
@@ -31,6 +31,10 @@
  * factor. */
 void fixture_init (struct fixture *f, double factor);
 
+/** add_instance() - add an instance without runs; @labels are separated by
+ * commas. */
+struct hk_instance *add_instance (struct fixture *f, const char *labels);
+
 /** fixture_finish() - release. */
 void fixture_finish (struct fixture *f);
 
