--- a/tests/platform/test_guard.c
+++ b/tests/platform/test_guard.c
@@ -302,6 +302,16 @@
   store->ops->event (&kv, store->user);
 }
 
+static void
+ignore_evacuations (const struct hk_evacuation *list, size_t n,
+                    int64_t revision, void *user)
+{
+  (void)list;
+  (void)n;
+  (void)revision;
+  (void)user;
+}
+
 /* Guards against limits that are not read, that outlive the version that had
    them, or that exceed what the program can take. */
 static void
@@ -316,7 +326,7 @@
 
   w.default_limits = defaults;
   hk_queues_init (&queues);
-  config_watch_start (&w, &store.base, &queues);
+  config_watch_start (&w, &store.base, &queues, ignore_evacuations, NULL);
   write_config (&store, "{\"version\":2,\"routes\":[],\"limits\":{"
                         "\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,"
                         "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
