Tell operators where a job would be placed now

Operators could not see why a task goes to an instance, or to none, without submitting a job and reading the log.

`hyssopkeel where` asks any entry of hyssopkeel-node, which serves POST /where on its metrics address and passes the question on to the leader as procedure 4 of HK_COORD_PROGRAM. The leader answers from the code that decides: coord_admission() (coord_admit() without its learning), the candidates and scores of a pass, coord_task_obstacle(), and coord_locality_explain(). The job that is asked about is not in the engine; candidate turn, expired rates, cached order views and numbers of images are restored. A leader whose passes end at their budget refuses.

--- a/include/hyssopkeel/coord.h
+++ b/include/hyssopkeel/coord.h
@@ -135,4 +135,28 @@
                        int64_t timeout_ms, hk_coord_request_done done,
                        void *user);
 
+/**
+ * hk_coord_where_done - called with the answer of hk_coord_where().
+ * @reply: answer, valid during the call.
+ * @user: argument passed with the question.
+ */
+typedef void (*hk_coord_where_done) (const hk_where_reply *reply, void *user);
+
+/**
+ * hk_coord_where() - ask the leader, which may be this process, where the
+ * tasks of a job would be placed now; nothing is submitted or changed.
+ * @c: coordinator.
+ * @spec: job, checked by hk_engine_spec_check(); used until the return only.
+ * @timeout_ms: time limit.
+ * @done: called exactly once, perhaps before the return.
+ * @user: argument of @done.
+ *
+ * The outcome is HK_JOB_REQUEST_DONE with an answer; HK_JOB_REQUEST_REFUSED if
+ * no process leads, or the leader is overloaded or cut off;
+ * HK_JOB_REQUEST_NOT_FOUND if the leader runs a build that can't answer; or
+ * HK_JOB_REQUEST_UNKNOWN if it does not reply.
+ */
+void hk_coord_where (struct hk_coord *c, const hk_job_spec *spec,
+                     int64_t timeout_ms, hk_coord_where_done done, void *user);
+
 #endif
--- a/include/hyssopkeel/hk_job_xdr.h
+++ b/include/hyssopkeel/hk_job_xdr.h
@@ -315,6 +315,19 @@
 };
 typedef struct hk_job_request_reply hk_job_request_reply;
 
+struct hk_where_args {
+	hk_job_spec job;
+};
+typedef struct hk_where_args hk_where_args;
+
+struct hk_where_reply {
+	hk_job_request_outcome outcome;
+	u_int retry_after_s;
+	char *reason;
+	char *answer;
+};
+typedef struct hk_where_reply hk_where_reply;
+
 struct hk_ping_args {
 	char *name;
 };
@@ -346,6 +359,9 @@
 #define HK_COORD_PING 3
 extern  hk_ping_reply * hk_coord_ping_1(hk_ping_args *, CLIENT *);
 extern  hk_ping_reply * hk_coord_ping_1_svc(hk_ping_args *, struct svc_req *);
+#define HK_COORD_WHERE 4
+extern  hk_where_reply * hk_coord_where_1(hk_where_args *, CLIENT *);
+extern  hk_where_reply * hk_coord_where_1_svc(hk_where_args *, struct svc_req *);
 extern int hk_coord_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -361,6 +377,9 @@
 #define HK_COORD_PING 3
 extern  hk_ping_reply * hk_coord_ping_1();
 extern  hk_ping_reply * hk_coord_ping_1_svc();
+#define HK_COORD_WHERE 4
+extern  hk_where_reply * hk_coord_where_1();
+extern  hk_where_reply * hk_coord_where_1_svc();
 extern int hk_coord_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -391,6 +410,8 @@
 extern  bool_t xdr_hk_job_request_args (XDR *, hk_job_request_args*);
 extern  bool_t xdr_hk_job_request_outcome (XDR *, hk_job_request_outcome*);
 extern  bool_t xdr_hk_job_request_reply (XDR *, hk_job_request_reply*);
+extern  bool_t xdr_hk_where_args (XDR *, hk_where_args*);
+extern  bool_t xdr_hk_where_reply (XDR *, hk_where_reply*);
 extern  bool_t xdr_hk_ping_args (XDR *, hk_ping_args*);
 extern  bool_t xdr_hk_ping_reply (XDR *, hk_ping_reply*);
 
@@ -419,6 +440,8 @@
 extern bool_t xdr_hk_job_request_args ();
 extern bool_t xdr_hk_job_request_outcome ();
 extern bool_t xdr_hk_job_request_reply ();
+extern bool_t xdr_hk_where_args ();
+extern bool_t xdr_hk_where_reply ();
 extern bool_t xdr_hk_ping_args ();
 extern bool_t xdr_hk_ping_reply ();
 
--- a/include/hyssopkeel/interference_model.h
+++ b/include/hyssopkeel/interference_model.h
@@ -60,6 +60,18 @@
 unsigned hk_interference_model_image (struct hk_interference_model *model,
                                       const char *name);
 
+/** hk_interference_model_has_room() - whether @n more images get numbers
+ * without a loss of estimates. */
+gboolean
+hk_interference_model_has_room (const struct hk_interference_model *model,
+                                unsigned n);
+
+/** hk_interference_model_forget_from() - take back @number and all higher
+ * numbers, and drop the estimates of their images; other numbers stay valid.
+ * For an image that was only looked at. */
+void hk_interference_model_forget_from (struct hk_interference_model *model,
+                                        unsigned number);
+
 /** hk_interference_model_observed() - whether a pair has been observed, or its
  * estimate was taken from another process; by the numbers of the images. */
 gboolean
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -98,6 +98,7 @@
 int cli_audit (struct cli *cli, int argc, char **argv);
 int cli_status (struct cli *cli, int argc, char **argv);
 int cli_drain (struct cli *cli, int argc, char **argv);
+int cli_where (struct cli *cli, int argc, char **argv);
 int cli_jobs (struct cli *cli, int argc, char **argv);
 
 /**
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -17,6 +17,8 @@
   { "status", "", "Print instances, jobs and revisions", cli_status },
   { "drain", "INSTANCE | --domain DOMAIN", "Stop giving new work to instances",
     cli_drain },
+  { "where", "PATH --node ADDRESS --host HOST",
+    "Tell where a submission would be placed now", cli_where },
   { "jobs", "submit|show|list|cancel ...", "Submit, show, list or cancel jobs",
     cli_jobs },
 };
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -162,7 +162,9 @@
           sizeof (hk_job_request_args), (xdrproc_t)xdr_hk_job_request_reply,
           coord_on_request },
         { HK_COORD_PING, (xdrproc_t)xdr_hk_ping_args, sizeof (hk_ping_args),
-          (xdrproc_t)xdr_hk_ping_reply, on_ping } };
+          (xdrproc_t)xdr_hk_ping_reply, on_ping },
+        { HK_COORD_WHERE, (xdrproc_t)xdr_hk_where_args, sizeof (hk_where_args),
+          (xdrproc_t)xdr_hk_where_reply, coord_on_where } };
 
 struct hk_coord *
 hk_coord_new (struct hk_store *store, const struct hk_coord_options *options)
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -347,6 +347,9 @@
 void coord_request_handle (struct hk_coord *c, const hk_job_request_args *args,
                            hk_coord_request_done done, void *user);
 
+/* coord_where.c */
+void coord_on_where (struct hk_rpc_request *req, void *args, void *user);
+
 /* coord_forward.c */
 void coord_requests_retry (struct hk_coord *c);
 void coord_requests_drop (struct hk_coord *c);
@@ -474,6 +477,7 @@
 void coord_consolidate (struct hk_coord *c, int64_t now);
 
 /* coord_waiting.c */
+const char *coord_wait_reason_name (enum coord_wait_reason reason);
 void coord_waiting_report (struct hk_coord *c, int64_t now);
 
 /* coord_crash.c */
@@ -504,6 +508,9 @@
 /* The same of a run, which takes longer away from its data. */
 int64_t coord_estimate_run_ms (struct hk_coord *c, const struct hk_run *run);
 double coord_best_effort_cores (struct hk_coord *c);
+gboolean coord_admission (struct hk_coord *c, const hk_job_spec *spec,
+                          struct hk_admission_view *v, unsigned *retry_after_s,
+                          const char **reason);
 gboolean coord_admit (struct hk_coord *c, const hk_job_spec *spec,
                       unsigned *retry_after_s, const char **reason);
 
--- a/src/coord/coord_estimate.c
+++ b/src/coord/coord_estimate.c
@@ -333,18 +333,19 @@
   return requested > 0 ? available_milli / 1000.0 * effective / requested : 0;
 }
 
+/* Whether a job is admitted, without effects. Fills in @v, zeroed by the
+   caller, and @reason, if that depends on the backlog. */
 gboolean
-coord_admit (struct hk_coord *c, const hk_job_spec *spec,
-             unsigned *retry_after_s, const char **reason)
+coord_admission (struct hk_coord *c, const hk_job_spec *spec,
+                 struct hk_admission_view *v, unsigned *retry_after_s,
+                 const char **reason)
 {
-  struct hk_admission_view v = { 0 };
   struct hk_engine_job *job;
   struct hk_engine_step step = { 0 };
   struct hk_engine_job probe = { .spec = *spec };
   int64_t now = hk_clock_ms ();
 
-  v.work_core_ms = total_work (c, spec);
-  learn_mean_work (c, spec->queue, v.work_core_ms);
+  v->work_core_ms = total_work (c, spec);
   if (!is_best_effort_job (spec)
       || now - c->taken_over_ms < ADMIT_ALL_AFTER_TAKEOVER_MS)
     return TRUE;
@@ -352,7 +353,7 @@
   for (unsigned i = 0; i < spec->steps.steps_len; i++)
     {
       step.spec = &spec->steps.steps_val[i];
-      v.critical_path_ms += coord_estimate_ms (c, &step);
+      v->critical_path_ms += coord_estimate_ms (c, &step);
     }
   TAILQ_FOREACH (job, &c->engine.active, link)
   {
@@ -360,12 +361,22 @@
       continue;
     coord_order_update (c, job, now);
     if (hk_order_class (&job->order) != HK_ORDER_EXPIRED)
-      v.backlog_core_ms += job->order.remaining_core_ms;
+      v->backlog_core_ms += job->order.remaining_core_ms;
   }
-  v.rate_cores = coord_best_effort_cores (c);
-  v.objective_ms = compute_objective_ms (spec, v.critical_path_ms);
+  v->rate_cores = coord_best_effort_cores (c);
+  v->objective_ms = compute_objective_ms (spec, v->critical_path_ms);
   *reason = "the backlog would make it late";
-  if (hk_admission_decide (&v, retry_after_s))
+  return hk_admission_decide (v, retry_after_s);
+}
+
+gboolean
+coord_admit (struct hk_coord *c, const hk_job_spec *spec,
+             unsigned *retry_after_s, const char **reason)
+{
+  struct hk_admission_view v = { 0 };
+
+  learn_mean_work (c, spec->queue, total_work (c, spec));
+  if (coord_admission (c, spec, &v, retry_after_s, reason))
     return TRUE;
   hk_log (HK_LOG_INFO, "coord", NULL, spec->id,
           "event=too_late backlog_core_ms=%.0f rate_cores=%.0f "
--- a/src/coord/coord_locality.h
+++ b/src/coord/coord_locality.h
@@ -52,10 +52,23 @@
    one. Returns FALSE if it is to be placed now. */
 gboolean coord_locality_defer (struct coord_pass *p,
                                struct hk_engine_task *task);
+/* What coord_locality_defer() and coord_locality_flush() would decide about a
+   task of the step that was begun, without its effects. Tasks that wait for
+   the same rack are not counted. Returns FALSE if the task has no data on a
+   rack or a slot near it is free. */
+gboolean coord_locality_explain (struct coord_pass *p,
+                                 struct hk_engine_task *task,
+                                 struct hk_locality_view *v,
+                                 struct hk_locality_decision *d);
 /* Decides about the tasks that were put off. */
 void coord_locality_flush (struct coord_pass *p);
 void coord_locality_placed (struct coord_pass *p,
                             const struct hk_engine_task *task,
                             const struct hk_instance *in);
 
+/* coord_locality_slots.c */
+struct hk_locality_slots *coord_rack_slots (struct coord_pass *p,
+                                            struct coord_rack *rack,
+                                            const struct hk_engine_step *step);
+
 #endif
--- a/src/coord/coord_waiting.c
+++ b/src/coord/coord_waiting.c
@@ -47,6 +47,12 @@
                 >= (int64_t)spec->accelerators;
 }
 
+const char *
+coord_wait_reason_name (enum coord_wait_reason reason)
+{
+  return reason_names[reason];
+}
+
 static void
 append_reasons (GString *text, const unsigned *counts)
 {
--- a/src/policy/interference_model.c
+++ b/src/policy/interference_model.c
@@ -98,6 +98,27 @@
   return model->names->len - 1;
 }
 
+gboolean
+hk_interference_model_has_room (const struct hk_interference_model *model,
+                                unsigned n)
+{
+  return model->names->len + n <= IMAGES_MAX;
+}
+
+void
+hk_interference_model_forget_from (struct hk_interference_model *model,
+                                   unsigned number)
+{
+  for (unsigned i = number; i < model->names->len; i++)
+    for (unsigned k = 0; k < model->names->len; k++)
+      model->pairs[i * model->capacity + k]
+          = model->pairs[k * model->capacity + i] = prior;
+  for (unsigned i = number; i < model->names->len; i++)
+    g_hash_table_remove (model->images, model->names->pdata[i]);
+  if (number < model->names->len)
+    g_ptr_array_set_size (model->names, (int)number);
+}
+
 static struct hk_interference_pair *
 pair_at (const struct hk_interference_model *model, unsigned serving,
          unsigned best_effort)
--- a/src/rpc/hk_job.x
+++ b/src/rpc/hk_job.x
@@ -249,6 +249,19 @@
   string reason<HK_JOB_NAME_MAX>;
 };
 
+/* Asks where the tasks of a job would be placed now; nothing is submitted. */
+struct hk_where_args {
+  hk_job_spec job;
+};
+
+/* The answer is JSON text, empty unless the outcome is HK_JOB_REQUEST_DONE. */
+struct hk_where_reply {
+  hk_job_request_outcome outcome;
+  unsigned retry_after_s;
+  string reason<HK_JOB_NAME_MAX>;
+  string answer<HK_JOB_TEXT_MAX>;
+};
+
 struct hk_ping_args {
   string name<HK_JOB_NAME_MAX>;
 };
@@ -268,5 +281,6 @@
     hk_sync_reply HK_COORD_SYNC(hk_sync_args) = 1;
     hk_job_request_reply HK_COORD_REQUEST(hk_job_request_args) = 2;
     hk_ping_reply HK_COORD_PING(hk_ping_args) = 3;
+    hk_where_reply HK_COORD_WHERE(hk_where_args) = 4;
   } = 1;
 } = 0x20004b43;
--- a/src/rpc/hk_job_xdr.c
+++ b/src/rpc/hk_job_xdr.c
@@ -1058,6 +1058,32 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hk_where_args (XDR *xdrs, hk_where_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_hk_job_spec (xdrs, &objp->job))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_hk_where_reply (XDR *xdrs, hk_where_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_hk_job_request_outcome (xdrs, &objp->outcome))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_after_s))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->reason, HK_JOB_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->answer, HK_JOB_TEXT_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hk_ping_args (XDR *xdrs, hk_ping_args *objp)
 {
