--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -119,8 +119,8 @@
              "you repeat it.";
     case HK_ERR_UNAVAILABLE:
     case HK_ERR_IO:
-      return "Nothing was changed. Check --store and that the service is "
-             "reachable.";
+      return "Nothing was changed. Check --store, or --node, and that the "
+             "service is reachable.";
     default:
       return NULL;
     }
--- a/src/coord/coord_locality.c
+++ b/src/coord/coord_locality.c
@@ -282,17 +282,69 @@
   return v;
 }
 
+/* Tasks of a step that wait for a slot on their rack. */
+static unsigned
+count_near_waiting (const struct hk_engine_step *step)
+{
+  unsigned n = 0;
+
+  for (unsigned t = 0; step->waiting > 0 && t < step->spec->count; t++)
+    {
+      const struct hk_engine_task *task = &step->tasks[t];
+
+      n += task->state == HK_TASK_WAITING && task->near_wait_since_ms > 0
+           && task->near_wait_since_ms >= task->ready_ms;
+    }
+  return MIN (n, HK_LOCALITY_SLOTS_MAX);
+}
+
+/* Whether tasks of @other queue for slots before one of @step: they are more
+   urgent, or gain as much at the same urgency. */
+static gboolean
+queues_before (struct hk_coord *c, const struct hk_engine_step *other,
+               const struct hk_engine_step *step)
+{
+  const hk_step_spec *spec = other->spec;
+
+  if (other->waiting == 0 || g_strcmp0 (spec->rack, step->spec->rack) != 0
+      || (spec->flags & HK_STEP_BEST_EFFORT)
+             != (step->spec->flags & HK_STEP_BEST_EFFORT))
+    return FALSE;
+  if (other->job->spec.urgency != step->job->spec.urgency)
+    return other->job->spec.urgency > step->job->spec.urgency;
+  return coord_estimate_ms (c, other) >= coord_estimate_ms (c, step);
+}
+
+static void
+take_slots_of_waiting (struct coord_pass *p, struct hk_locality_slots *slots,
+                       const struct hk_engine_step *step)
+{
+  const struct hk_engine_job *job;
+
+  TAILQ_FOREACH (job, &p->c->engine.active, link)
+  for (unsigned i = 0; i < job->spec.steps.steps_len; i++)
+    if (queues_before (p->c, &job->steps[i], step))
+      for (unsigned n = count_near_waiting (&job->steps[i]); n > 0; n--)
+        hk_locality_slots_take (
+            slots, (double)coord_estimate_ms (p->c, &job->steps[i]));
+}
+
 gboolean
 coord_locality_explain (struct coord_pass *p, struct hk_engine_task *task,
                         struct hk_locality_view *v,
                         struct hk_locality_decision *d)
 {
   int best = p->rack ? coord_pass_best (p, task) : -1;
+  struct hk_locality_slots *slots;
 
   *d = (struct hk_locality_decision){ 0 };
   if (!p->rack || (best >= 0 && p->views[best].near))
     return FALSE;
-  *v = view_wait (p, task, p->rack, coord_rack_slots (p, p->rack, task->step));
+  /* Slots that were computed before have been taken by other tasks. */
+  p->c->locality.pass++;
+  slots = coord_rack_slots (p, p->rack, task->step);
+  take_slots_of_waiting (p, slots, task->step);
+  *v = view_wait (p, task, p->rack, slots);
   if (best >= 0 && may_wait (p, task))
     *d = hk_locality_decide (v);
   return TRUE;
--- a/src/coord/coord_where.c
+++ b/src/coord/coord_where.c
@@ -30,7 +30,6 @@
 struct saved_state
 {
   struct hk_coord *c;
-  struct hk_instance *cursor;
   unsigned n_images;
   GArray *rates;  /* of struct saved_rates */
   GArray *orders; /* of struct saved_order */
@@ -43,7 +42,6 @@
   struct hk_instance *in;
 
   s->c = c;
-  s->cursor = c->engine.cursor;
   s->n_images = c->interference_model.names->len;
   s->rates = g_array_new (FALSE, FALSE, sizeof (struct saved_rates));
   s->orders = g_array_new (FALSE, FALSE, sizeof (struct saved_order));
@@ -83,7 +81,6 @@
       order->job->order_version = order->order_version;
     }
   hk_interference_model_forget_from (&s->c->interference_model, s->n_images);
-  s->c->engine.cursor = s->cursor;
   g_array_unref (s->rates);
   g_array_unref (s->orders);
 }
@@ -259,6 +256,7 @@
   int best;
 
   coord_pass_begin_step (p, task);
+  /* The turn of candidates is that of passes. */
   p->c->engine.cursor = first;
   best = coord_pass_best (p, task);
   add_int (obj, "step", step->index);
@@ -306,8 +304,6 @@
 
   probe_init (&job, c, spec, now);
   coord_pass_init (&p, c, now);
-  /* Slots that the last pass computed have been taken by tasks since. */
-  c->locality.pass++;
   p.n_waiting = count_best_effort_waiting (c) + 1;
   *n_left_out = 0;
   for (unsigned i = 0; i < spec->steps.steps_len; i++)
--- a/tests/coord/test_where.c
+++ b/tests/coord/test_where.c
@@ -229,6 +229,55 @@
   site_finish (&s);
 }
 
+static void
+answer_ping (struct hk_rpc_request *req, void *args, void *user)
+{
+  hk_ping_reply reply = { .leading = TRUE, .term = 1 };
+
+  (void)args;
+  (void)user;
+  hk_rpc_reply (req, &reply);
+}
+
+/* Guards against a question that looks unanswered, or that costs the
+   connection to the leader, while an older build leads. */
+static void
+leaders_of_older_builds_are_named (void)
+{
+  static const struct hk_rpc_handler handlers[]
+      = { { HK_COORD_PING, (xdrproc_t)xdr_hk_ping_args, sizeof (hk_ping_args),
+            (xdrproc_t)xdr_hk_ping_reply, answer_ping } };
+  struct hk_rpc_server old = { .program = HK_COORD_PROGRAM,
+                               .version = HK_COORD_V1,
+                               .handlers = handlers,
+                               .n_handlers = G_N_ELEMENTS (handlers) };
+  hk_job_spec *spec = one_task ("0000000000000001", 1000);
+  g_autofree char *address = NULL;
+  struct memory_store store;
+  struct hk_coord *leader;
+  struct hk_coord *c;
+  struct hk_error err;
+  struct result r = { 0 };
+
+  memory_store_init (&store);
+  leader = coord_start (&store, "e1", &address);
+  test_run_until (is_leading, leader);
+  hk_coord_free (leader);
+  g_assert_cmpint (hk_rpc_server_start (&old, address, &err), ==, HK_OK);
+  c = coord_start (&store, "e2", NULL);
+  for (int i = 0; i < 100 && r.outcome != HK_JOB_REQUEST_NOT_FOUND; i++)
+    {
+      test_run_for (20);
+      where (c, spec, &r);
+    }
+  g_assert_cmpint (r.outcome, ==, HK_JOB_REQUEST_NOT_FOUND);
+  g_assert_cmpuint (old.connections, ==, 1);
+  hk_coord_free (c);
+  hk_rpc_server_stop (&old);
+  test_job_spec_free (spec);
+  memory_store_finish (&store);
+}
+
 static void
 processes_that_do_not_lead_refuse (void)
 {
@@ -384,6 +433,52 @@
   fixture_finish (&f);
 }
 
+static void
+add_instances (struct fixture *f, struct coord_link *links, unsigned n)
+{
+  for (unsigned i = 0; i < n; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("b%u", i);
+      struct hk_instance *in = hk_engine_instance_get (&f->c->engine, name);
+
+      links[i] = (struct coord_link){ .c = f->c, .in = in, .described = TRUE };
+      coord_sharing_init (&links[i].sharing);
+      in->link = &links[i];
+      in->pool = g_strdup ("pool");
+      in->cpu_milli = CPU_MILLI;
+      in->memory_mb = 1000;
+      in->capacity_known = TRUE;
+      in->last_report_ms = f->now;
+    }
+}
+
+/* Guards against an unbounded look at the instances, and against one that
+   takes the turn of candidates from the next pass. */
+static void
+the_look_at_instances_is_bounded (void)
+{
+  static struct coord_link links[HK_PASS_CANDIDATES_MAX];
+  struct result r;
+  struct fixture f;
+
+  replay_init (&f);
+  add_instances (&f, links, G_N_ELEMENTS (links));
+  ask_replay (&f, "", HK_STEP_SPECULATIVE, "", &r);
+  g_assert_null (f.c->engine.cursor);
+  g_assert_cmpint (hk_json_int (first_step (&r), "not_examined"), ==,
+                   INSTANCES);
+  g_assert_cmpuint (
+      json_object_array_length (member (first_step (&r), "best")), ==, 5);
+  g_assert_cmpint (count_others (&r, "fits"), ==, HK_PASS_CANDIDATES_MAX - 5);
+  json_object_put (r.answer);
+  for (guint i = 0; i < G_N_ELEMENTS (links); i++)
+    {
+      coord_sharing_finish (&links[i].sharing);
+      links[i].in->link = NULL;
+    }
+  fixture_finish (&f);
+}
+
 /* Guards against an answer without the wait for a slot near the data. */
 static void
 the_wait_for_a_near_slot_is_told (void)
@@ -415,6 +510,35 @@
     }
 }
 
+/* Guards against an answer that ignores the queue at the rack: one slot is
+   free soon, and a task that gains more waits for it. */
+static void
+tasks_that_wait_already_come_first (void)
+{
+  struct hk_engine_task *first;
+  struct hk_engine_task *task;
+  struct fixture f;
+  struct result r;
+
+  replay_init (&f);
+  run_on (&f, 0, TASK_MILLI, 300);
+  run_on (&f, 0, CPU_MILLI - TASK_MILLI, 60000);
+  run_on (&f, 1, CPU_MILLI, 60000);
+  first = submit (&f, "r1", TASK_MILLI, 2 * RUN_MS, 1);
+  coord_schedule (f.c, f.now);
+  g_assert_cmpint (place_of (&f, first), ==, -1);
+  ask_replay (&f, "r1", HK_STEP_SPECULATIVE, "", &r);
+  g_assert_cmpstr (hk_json_str (first_step (&r), "decision"), ==, "place");
+  task = submit_near (&f);
+  coord_schedule (f.c, f.now);
+  g_assert_cmpint (place_of (&f, first), ==, -1);
+  g_assert_cmpint (place_of (&f, task), >=, 0);
+  g_assert_cmpstr (hk_json_str (first_step (&r), "instance"), ==,
+                   f.instances[place_of (&f, task)]->name);
+  json_object_put (r.answer);
+  fixture_finish (&f);
+}
+
 /* A question would delay the passes that the backlog needs. */
 static void
 overloaded_coordinators_refuse (void)
@@ -443,7 +567,10 @@
   ADD (reasons_are_counted_where_nothing_fits);
   ADD (questions_change_no_placement);
   ADD (questions_change_no_learned_state);
+  ADD (the_look_at_instances_is_bounded);
   ADD (the_wait_for_a_near_slot_is_told);
+  ADD (tasks_that_wait_already_come_first);
+  ADD (leaders_of_older_builds_are_named);
   ADD (overloaded_coordinators_refuse);
   return g_test_run ();
 }
--- a/tests/platform/test_where.c
+++ b/tests/platform/test_where.c
@@ -63,6 +63,87 @@
   api_fixture_finish (&f);
 }
 
+/* A run of the command-line tool; the entry answers it in this process. */
+struct tool
+{
+  GSubprocess *process;
+  gboolean done;
+  char *output;
+};
+
+static void
+on_tool_done (GObject *source, GAsyncResult *res, gpointer user)
+{
+  struct tool *t = user;
+
+  g_assert_true (g_subprocess_communicate_utf8_finish (
+      G_SUBPROCESS (source), res, &t->output, NULL, NULL));
+  t->done = TRUE;
+}
+
+static gboolean
+is_tool_done (void *user)
+{
+  return ((struct tool *)user)->done;
+}
+
+/* Returns the exit code; @output is freed by the caller. */
+static int
+run_tool (const char *node, const char *host, const char *option,
+          const char *submission, char **output)
+{
+  g_autofree char *program
+      = g_build_filename (g_getenv ("HK_BUILD_DIR"), "hyssopkeel", NULL);
+  const char *argv[] = { program, "where", "--node", node, "--host",
+                         host,    "/p/",   option,   NULL };
+  struct tool t = { 0 };
+  int code;
+
+  t.process = g_subprocess_newv (
+      argv, G_SUBPROCESS_FLAGS_STDIN_PIPE | G_SUBPROCESS_FLAGS_STDOUT_PIPE,
+      NULL);
+  g_assert_nonnull (t.process);
+  g_subprocess_communicate_utf8_async (t.process, submission, NULL,
+                                       on_tool_done, &t);
+  test_run_until (is_tool_done, &t);
+  code = g_subprocess_get_exit_status (t.process);
+  g_object_unref (t.process);
+  *output = t.output;
+  return code;
+}
+
+static void
+check_tool (const char *node, const char *host, const char *option,
+            const char *submission, int code, const char *text)
+{
+  g_autofree char *output = NULL;
+
+  g_assert_cmpint (run_tool (node, host, option, submission, &output), ==,
+                   code);
+  g_assert_nonnull (strstr (output, text));
+}
+
+static void
+the_tool_prints_answers_and_exit_codes (void)
+{
+  g_autofree char *nobody = test_address ();
+  struct api_fixture f;
+
+  if (!g_getenv ("HK_BUILD_DIR"))
+    {
+      g_test_skip ("HK_BUILD_DIR names no directory with the tool");
+      return;
+    }
+  api_fixture_init (&f);
+  check_tool (f.api.metrics, "h.example", NULL, BODY, 0, "decision=wait");
+  check_tool (f.api.metrics, "h.example", "--json", BODY, 0,
+              "\"decision\":\"wait\"");
+  check_tool (f.api.metrics, "h.example", NULL, "{\"steps\":[]}", 2, "");
+  check_tool (f.api.metrics, "other", NULL, BODY, 5, "");
+  check_tool (nobody, "h.example", NULL, BODY, 6, "");
+  api_fixture_finish (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -71,5 +152,6 @@
   ADD (operators_are_answered_and_nothing_is_submitted);
   ADD (invalid_questions_are_rejected);
   ADD (questions_are_refused_while_nobody_leads);
+  ADD (the_tool_prints_answers_and_exit_codes);
   return g_test_run ();
 }
