Split the sources and tests of where by what they cover

Passing a question on to the leader is in coord_where_forward.c; tests in replayed passes are in test_where_replay.c, and what both tests use is in where_support.c. No test changes beyond the place of its code.

--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -348,6 +348,8 @@
                            hk_coord_request_done done, void *user);
 
 /* coord_where.c */
+void coord_where_answer (struct hk_coord *c, const hk_job_spec *spec,
+                         hk_coord_where_done done, void *user);
 void coord_on_where (struct hk_rpc_request *req, void *args, void *user);
 
 /* coord_forward.c */
