--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -17,6 +17,8 @@
   { "status", "", "Print instances, jobs and revisions", cli_status },
   { "drain", "INSTANCE | --domain DOMAIN", "Stop giving new work to instances",
     cli_drain },
+  { "where", "PATH --node ADDRESS --host HOST",
+    "Tell where a submission would be placed now", cli_where },
   { "jobs", "submit|show|list|cancel ...", "Submit, show, list or cancel jobs",
     cli_jobs },
 };
@@ -117,8 +119,8 @@
              "you repeat it.";
     case HK_ERR_UNAVAILABLE:
     case HK_ERR_IO:
-      return "Nothing was changed. Check --store and that the service is "
-             "reachable.";
+      return "Nothing was changed. Check --store, or --node, and that the "
+             "service is reachable.";
     default:
       return NULL;
     }
