Restore the turn of a rack's instances after a question

A pass takes the instances of a large rack in turn since the review of the placement near the data, and a question to hyssopkeel where moved that turn on.

--- a/src/coord/coord_where.c
+++ b/src/coord/coord_where.c
@@ -250,6 +250,8 @@
   json_object *list = json_object_new_array ();
   struct hk_engine_task *task = &step->tasks[0];
   struct hk_instance *first = p->c->engine.cursor;
+  struct coord_rack *rack = coord_rack_of (p->c, step);
+  guint first_near = rack ? rack->first : 0;
   gboolean shown[HK_PASS_CANDIDATES_MAX] = { FALSE };
   int64_t oldest_ms = 0;
   gboolean waits;
@@ -258,6 +260,8 @@
   coord_pass_begin_step (p, task);
   /* The turn of candidates is that of passes. */
   p->c->engine.cursor = first;
+  if (rack)
+    rack->first = first_near;
   best = coord_pass_best (p, task);
   add_int (obj, "step", step->index);
   add_int (obj, "tasks", step->spec->count);
--- a/tests/coord/test_where_replay.c
+++ b/tests/coord/test_where_replay.c
@@ -122,36 +122,17 @@
   fixture_finish (&f);
 }
 
-static void
-add_instances (struct fixture *f, struct coord_link *links, unsigned n)
-{
-  for (unsigned i = 0; i < n; i++)
-    {
-      g_autofree char *name = g_strdup_printf ("b%u", i);
-      struct hk_instance *in = hk_engine_instance_get (&f->c->engine, name);
-
-      links[i] = (struct coord_link){ .c = f->c, .in = in, .described = TRUE };
-      coord_sharing_init (&links[i].sharing);
-      in->link = &links[i];
-      in->pool = g_strdup ("pool");
-      in->cpu_milli = CPU_MILLI;
-      in->memory_mb = 1000;
-      in->capacity_known = TRUE;
-      in->last_report_ms = f->now;
-    }
-}
-
 /* Guards against an unbounded look at the instances, and against one that
    takes the turn of candidates from the next pass. */
 static void
 the_look_at_instances_is_bounded (void)
 {
-  static struct coord_link links[HK_PASS_CANDIDATES_MAX];
   struct result r;
   struct fixture f;
 
   replay_init (&f);
-  add_instances (&f, links, G_N_ELEMENTS (links));
+  for (unsigned i = 0; i < HK_PASS_CANDIDATES_MAX; i++)
+    add_instance (&f, "a")->last_report_ms = f.now;
   ask_replay (&f, "", HK_STEP_SPECULATIVE, "", &r);
   g_assert_null (f.c->engine.cursor);
   g_assert_cmpint (hk_json_int (first_step (&r), "not_examined"), ==,
@@ -160,11 +141,6 @@
       json_object_array_length (member (first_step (&r), "best")), ==, 5);
   g_assert_cmpint (count_others (&r, "fits"), ==, HK_PASS_CANDIDATES_MAX - 5);
   json_object_put (r.answer);
-  for (guint i = 0; i < G_N_ELEMENTS (links); i++)
-    {
-      coord_sharing_finish (&links[i].sharing);
-      links[i].in->link = NULL;
-    }
   fixture_finish (&f);
 }
 
