Tell restarted agents their runs where nothing may start

Cause: an agent that restarts knows only the ids of its runs; a start order tells it the rest. None was sent to an evacuated domain, so such an agent knew of no service task there and throttled nothing until the domain was restored: best-effort runs kept their speed however long tails were over their target. The same held for draining instances, and before a successor knew the domains.

Change: the order for a run that the latest report shows as started and not known is sent there too. It starts nothing, as an agent keeps each run that it has listed until the coordinator acknowledges its end.

Result: agents_learn_their_runs_where_nothing_may_start of test-restart fails before with 0 orders instead of 2, and passes now, evacuated and draining; no order follows for runs that later reports lack. test-restart and test-evacuate pass. That tails then stay within their targets was not measured.

--- a/src/coord/coord_sync_reply.c
+++ b/src/coord/coord_sync_reply.c
@@ -52,6 +52,16 @@
   return run->to_stop || !run->started_ms || run->spec_requested;
 }
 
+/* Whether the order for a run starts nothing: the agent lists the run but does
+   not know what it is. It keeps each run that it has listed until the
+   coordinator acknowledges the end. */
+static gboolean
+order_only_describes (const struct hk_run *run)
+{
+  return run->spec_requested && run->started_ms
+         && run->reported_ms == run->instance->last_report_ms;
+}
+
 /* Returns whether some run awaits orders. */
 static gboolean
 orders_collect (struct coord_link *l, GArray *starts, GArray *stops,
@@ -83,7 +93,7 @@
         run->ordered_ms = now;
       }
     else if (run->version <= run->task->step->job->committed_version
-             && starts_allowed)
+             && (starts_allowed || order_only_describes (run)))
       {
         hk_start_order start = { 0 };
 
--- a/tests/coord/test_restart.c
+++ b/tests/coord/test_restart.c
@@ -162,6 +162,36 @@
   fixture_finish (&f);
 }
 
+/* Guards against tails that stay over their targets: a restarted agent
+   throttles nothing until it knows which of its runs serve, and was not told
+   where nothing may start. */
+static void
+agents_learn_their_runs_where_nothing_may_start (void)
+{
+  const struct hk_evacuation evacuated = { "d", 7 };
+
+  for (int draining = 0; draining <= 1; draining++)
+    {
+      struct fixture f;
+
+      fixture_start (&f);
+      report (&f.leaving);
+      f.leaving.draining = draining;
+      hk_coord_set_evacuations (f.c, &evacuated, !draining, 9);
+      f.leaving.starts = 0;
+      for (unsigned i = 0; i < f.leaving.n_runs; i++)
+        f.leaving.runs[i].known = FALSE;
+      report (&f.leaving);
+      g_assert_cmpint (f.leaving.starts, ==, 2);
+      /* Runs that a report no longer shows might start with the order. */
+      f.leaving.n_runs = 0;
+      for (int i = 0; i < 4; i++)
+        report (&f.leaving);
+      g_assert_cmpint (f.leaving.starts, ==, 2);
+      fixture_finish (&f);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -172,5 +202,6 @@
   ADD (runs_of_a_restarted_agent_are_stopped_before_they_are_placed_again);
   ADD (runs_missing_on_a_draining_instance_are_stopped_first);
   ADD (unconfirmed_starts_are_stopped_at_the_next_incarnation);
+  ADD (agents_learn_their_runs_where_nothing_may_start);
   return g_test_run ();
 }
