Count an instance once on a rack that it names twice

Cause: labels come from the endpoint's report, unchecked for repetition. An instance that has the label of a rack twice was two candidates, of which a placement updated only one, so a pass placed more there than it has CPUs for, and its slots counted twice. The agent then refuses the starts.

Change: an instance is added to a rack once.

--- a/src/coord/coord_locality.c
+++ b/src/coord/coord_locality.c
@@ -71,6 +71,7 @@
   c->locality.stale = TRUE;
 }
 
+/* An instance may have the label twice, and is then still one candidate. */
 static void
 rack_add (struct coord_locality *l, const char *label, struct hk_instance *in)
 {
@@ -82,7 +83,9 @@
       rack->instances = g_ptr_array_new ();
       g_hash_table_insert (l->racks, g_strdup (label), rack);
     }
-  g_ptr_array_add (rack->instances, in);
+  if (rack->instances->len == 0
+      || rack->instances->pdata[rack->instances->len - 1] != in)
+    g_ptr_array_add (rack->instances, in);
 }
 
 /* Racks are kept when their instances change, for the age of their queue. */
--- a/tests/coord/test_locality_racks.c
+++ b/tests/coord/test_locality_racks.c
@@ -66,6 +66,32 @@
   fixture_finish (&f);
 }
 
+/* Guards against more runs than an instance has CPUs for: it is one candidate,
+   however often its report has the label. */
+static void
+repeated_labels_add_no_capacity (void)
+{
+  hk_step_spec step = { .count = 2 * CPU_MILLI / TASK_MILLI,
+                        .cpu_milli = TASK_MILLI,
+                        .memory_mb = 100,
+                        .label = (char *)"r3",
+                        .rack = (char *)"r3",
+                        .image = (char *)"" };
+  hk_job_spec spec = { .id = (char *)"1111111111111111",
+                       .queue = (char *)"short",
+                       .pool = (char *)"pool",
+                       .steps = { 1, &step } };
+  struct fixture f;
+  struct hk_instance *in;
+
+  fixture_init (&f, FACTOR);
+  in = add_instance (&f, "a,r3,r3");
+  hk_engine_submit (&f.c->engine, &spec, f.now, f.now);
+  pass (&f);
+  g_assert_cmpuint (in->used_cpu_milli, ==, CPU_MILLI);
+  fixture_finish (&f);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -73,5 +99,6 @@
 #define ADD(name) g_test_add_func ("/locality_racks/" #name, name)
   ADD (free_slots_of_large_racks_are_found);
   ADD (large_racks_leave_candidates_to_others);
+  ADD (repeated_labels_add_no_capacity);
   return g_test_run ();
 }
