Space searches for service tasks to evacuate

Cause: while a domain is evacuated and no other instance has room, each tick (100 ms) looks at all pairs of service tasks there and instances outside. Only moves were spaced, not searches that find nothing. Measured at a load average of about 39 on 7 cores, 300 instances, a third evacuated, 6 services on each: 12 to 20 ms a search (65 instances: 0.3 ms).

Change: searches are 250 ms apart, as those for consolidation are. After a move nothing changes, and the first search is as early as before.

--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -185,6 +185,7 @@
   uint64_t known_term;  /* they are known in this term */
   int64_t confirmed_ms; /* last time the set was confirmed; 0 if never */
   int64_t revision;     /* of the store, up to which it is known */
+  int64_t searched_ms;  /* last search for a service task to move */
   GHashTable *domains;  /* name to struct coord_evacuation */
 };
 
--- a/src/coord/coord_evacuate.c
+++ b/src/coord/coord_evacuate.c
@@ -16,6 +16,9 @@
    domain stood still for over 3 s. */
 #define RAMP_MS 1500
 #define RAMP_INTERVAL_MS 100
+/* Least time between two searches for a service task to move: each looks at
+   all pairs of services in the domain and instances outside. */
+#define SEARCH_INTERVAL_MS 250
 
 struct coord_evacuation
 {
@@ -220,8 +223,10 @@
   struct hk_run *run;
 
   if (g_hash_table_size (c->evacuations.domains) == 0
+      || now - c->evacuations.searched_ms < SEARCH_INTERVAL_MS
       || coord_store_failing (c, now) || !coord_move_due (c, now))
     return;
+  c->evacuations.searched_ms = now;
   TAILQ_FOREACH (in, &c->engine.instance_list, next)
   {
     if (!in->evacuated)
