Close connections whose clients do not read responses

Connections with a complete request were never closed. Clients that sent many requests on one connection and read no response kept theirs open for good: once they held all that clients may have, no other client was served.

When descriptors run short, a connection with no room for its response is closed after those with unfinished requests. One that has no room at two checks 15 s apart is closed in any case, counted as response_timeout.

untrusted/unread_responses, agent_unread_responses and daemon_unread_responses (250 connections, 256 descriptors): the ordinary request got no response within 20 s before, is answered now. By hand, with the sanitizers: 20 such connections were closed after 30 s, while a client that read 400 bytes a second got all of its 30 responses.

--- a/include/hyssopkeel/guard.h
+++ b/include/hyssopkeel/guard.h
@@ -17,6 +17,7 @@
   HK_GUARD_HEADER_TIMEOUT,
   HK_GUARD_BODY_TIMEOUT,
   HK_GUARD_IDLE_TIMEOUT,
+  HK_GUARD_RESPONSE_TIMEOUT,
   HK_GUARD_MEMORY,
   HK_GUARD_DESCRIPTORS,
   HK_GUARD_ACCEPT_FAILED,
@@ -28,7 +29,8 @@
  * @HK_GUARD_IDLE: no request has begun.
  * @HK_GUARD_HEADER: a request header is being received.
  * @HK_GUARD_BODY: a request body, or an RPC record, is being received.
- * @HK_GUARD_BUSY: the request is complete and has no response yet.
+ * @HK_GUARD_BUSY: the request is complete, and its response has not been
+ *                 written to the end.
  * @HK_GUARD_LINGER: rejected; closed once the client has read why.
  */
 enum hk_guard_phase
@@ -98,12 +100,15 @@
 /**
  * struct hk_guard_conn_ops - callbacks to the owner of a connection.
  * @receive: receive what has arrived; may remove the connection.
+ * @is_blocked: whether the client leaves so much unread that no more can be
+ *              written; NULL if the owner never enters HK_GUARD_BUSY.
  * @close: close it, with a response if one is possible. The descriptor is
- *         closed on return, except after time-outs.
+ *         closed on return, except after time-outs and in HK_GUARD_BUSY.
  */
 struct hk_guard_conn_ops
 {
   void (*receive) (struct hk_guard_conn *conn);
+  gboolean (*is_blocked) (const struct hk_guard_conn *conn);
   void (*close) (struct hk_guard_conn *conn, enum hk_guard_cause cause);
 };
 
@@ -112,8 +117,10 @@
  * @ops: callbacks.
  * @group: NULL while it is not counted.
  * @phase: what it is doing.
- * @since_ms: when the phase began, on the guard's clock.
+ * @since_ms: when the phase began, on the guard's clock, or when a busy
+ *            connection was last found not to be blocked.
  * @held_bytes: bytes held for its request.
+ * @blocked: it is busy, and was blocked when it was last checked.
  * @link: entry in @group.
  */
 struct hk_guard_conn
@@ -123,6 +130,7 @@
   enum hk_guard_phase phase;
   int64_t since_ms;
   size_t held_bytes;
+  gboolean blocked;
   TAILQ_ENTRY (hk_guard_conn) link;
 };
 
@@ -148,7 +156,8 @@
  * @group: group that it would belong to.
  *
  * Closes others to make room for it: idle ones first, the longest idle first,
- * then those with an unfinished request. Connections of an origin that is
+ * then those with an unfinished request, then those whose client does not read
+ * its responses. Connections of an origin that is
  * closed later than that of @group are kept.
  *
  * Return: FALSE if it must wait; @resume is called later.
--- a/src/rpc/guard.c
+++ b/src/rpc/guard.c
@@ -26,11 +26,17 @@
 #define BUDGET_FREED_SHARE 8
 /* Idle connections on which bytes turn out to have arrived, in one search. */
 #define IDLE_TRIES_MAX 16
+/* A client that leaves no room for a response at two successive checks does
+   not read; one that is frozen for seconds is not closed. */
+#define BLOCKED_CHECK_MS 15000
+/* Busy connections that are looked at in one tick or search. */
+#define BUSY_TRIES_MAX 64
 #define LOG_INTERVAL_MS 1000
 
 static const char *const cause_names[HK_GUARD_N_CAUSES]
-    = { "header_size",  "empty_lines", "header_timeout", "body_timeout",
-        "idle_timeout", "memory",      "descriptors",    "accept_failed" };
+    = { "header_size",  "empty_lines",  "header_timeout",
+        "body_timeout", "idle_timeout", "response_timeout",
+        "memory",       "descriptors",  "accept_failed" };
 
 static struct
 {
@@ -116,13 +122,15 @@
   hk_log (HK_LOG_WARN, "guard", NULL, NULL,
           "event=connections_limited header_size=%llu empty_lines=%llu "
           "header_timeout=%llu body_timeout=%llu idle_timeout=%llu "
-          "memory=%llu descriptors=%llu accept_failed=%llu held_bytes=%zu "
+          "response_timeout=%llu memory=%llu descriptors=%llu "
+          "accept_failed=%llu held_bytes=%zu "
           "held_limit=%zu connections=%u connections_limit=%u clients=%u "
           "clients_limit=%u",
           N (HEADER_SIZE), N (EMPTY_LINES), N (HEADER_TIMEOUT),
-          N (BODY_TIMEOUT), N (IDLE_TIMEOUT), N (MEMORY), N (DESCRIPTORS),
-          N (ACCEPT_FAILED), guard.held_bytes, guard.limits.budget_bytes,
-          guard.n_connections, guard.limits.connections_max, guard.n_clients,
+          N (BODY_TIMEOUT), N (IDLE_TIMEOUT), N (RESPONSE_TIMEOUT), N (MEMORY),
+          N (DESCRIPTORS), N (ACCEPT_FAILED), guard.held_bytes,
+          guard.limits.budget_bytes, guard.n_connections,
+          guard.limits.connections_max, guard.n_clients,
           guard.limits.client_connections_max);
 #undef N
   for (int i = 0; i < HK_GUARD_N_CAUSES; i++)
@@ -205,6 +213,7 @@
     return;
   TAILQ_REMOVE (&conn->group->conns[conn->phase], conn, link);
   conn->phase = phase;
+  conn->blocked = FALSE;
   conn->since_ms = guard.now_ms;
   TAILQ_INSERT_TAIL (&conn->group->conns[phase], conn, link);
   start_ticks ();
@@ -238,6 +247,39 @@
   return oldest;
 }
 
+/* The next search or check begins with another busy connection. */
+static void
+requeue_busy (struct hk_guard_conn *conn)
+{
+  struct hk_guard_list *list = &conn->group->conns[HK_GUARD_BUSY];
+
+  conn->since_ms = guard.now_ms;
+  TAILQ_REMOVE (list, conn, link);
+  TAILQ_INSERT_TAIL (list, conn, link);
+}
+
+/* Closes a connection whose client does not read its responses. */
+static gboolean
+close_blocked (enum hk_conn_origin origin)
+{
+  for (int tries = 0; tries < BUSY_TRIES_MAX; tries++)
+    {
+      struct hk_guard_conn *conn = find_oldest (origin, HK_GUARD_BUSY);
+      gboolean blocked;
+
+      if (!conn)
+        return FALSE;
+      blocked = conn->ops->is_blocked (conn);
+      requeue_busy (conn);
+      if (!blocked)
+        continue;
+      hk_guard_count (HK_GUARD_DESCRIPTORS);
+      conn->ops->close (conn, HK_GUARD_DESCRIPTORS);
+      return TRUE;
+    }
+  return FALSE;
+}
+
 /* Closes the connection that is least needed. Returns FALSE if none can be
    closed. An idle connection on which bytes have arrived is not idle. */
 static gboolean
@@ -264,7 +306,7 @@
         conn->ops->close (conn, HK_GUARD_DESCRIPTORS);
         return TRUE;
       }
-  return FALSE;
+  return close_blocked (origin);
 }
 
 /* Closes a connection of an origin up to @last, in their order. */
@@ -428,6 +470,27 @@
     }
 }
 
+static void
+check_busy (struct hk_guard_group *group)
+{
+  struct hk_guard_conn *conn;
+
+  for (int tries = 0; tries < BUSY_TRIES_MAX
+                      && (conn = TAILQ_FIRST (&group->conns[HK_GUARD_BUSY]))
+                      && guard.now_ms - conn->since_ms > BLOCKED_CHECK_MS;
+       tries++)
+    {
+      gboolean was_blocked = conn->blocked;
+
+      requeue_busy (conn);
+      conn->blocked = conn->ops->is_blocked (conn);
+      if (!conn->blocked || !was_blocked)
+        continue;
+      hk_guard_count (HK_GUARD_RESPONSE_TIMEOUT);
+      conn->ops->close (conn, HK_GUARD_RESPONSE_TIMEOUT);
+    }
+}
+
 static void
 on_tick (void *user)
 {
@@ -442,6 +505,7 @@
   {
     for (int phase = 0; phase < HK_GUARD_N_PHASES; phase++)
       check_phase (group, phase, &closed);
+    check_busy (group);
     if (group->waiting)
       {
         group->waiting = FALSE;
--- a/src/rpc/http_conn.c
+++ b/src/rpc/http_conn.c
@@ -138,6 +138,26 @@
     free_conn (conn);
 }
 
+static gboolean
+is_blocked (const struct hk_guard_conn *base)
+{
+  const struct hk_http_conn *conn = (const struct hk_http_conn *)base;
+
+  return g_socket_condition_check (conn->socket, G_IO_OUT) == 0;
+}
+
+/* libsoup fails to write the response and closes the stream. What the client
+   has not read is discarded, or the kernel would keep it for minutes. */
+static void
+abort_response (struct hk_http_conn *conn)
+{
+  const struct linger discard = { .l_onoff = 1 };
+  int fd = g_socket_get_fd (conn->socket);
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+  shutdown (fd, SHUT_RDWR);
+}
+
 static const char *
 late_status (const struct hk_http_conn *conn)
 {
@@ -152,6 +172,11 @@
   gboolean begun
       = base->phase == HK_GUARD_HEADER || base->phase == HK_GUARD_BODY;
 
+  if (base->phase == HK_GUARD_BUSY)
+    {
+      abort_response (conn);
+      return;
+    }
   if (cause == HK_GUARD_HEADER_TIMEOUT || cause == HK_GUARD_BODY_TIMEOUT)
     {
       hk_http_conn_reject (conn, late_status (conn));
@@ -168,8 +193,9 @@
   hk_http_conn_receive ((struct hk_http_conn *)base);
 }
 
-static const struct hk_guard_conn_ops guard_ops
-    = { .receive = receive_waiting, .close = close_conn };
+static const struct hk_guard_conn_ops guard_ops = { .receive = receive_waiting,
+                                                    .is_blocked = is_blocked,
+                                                    .close = close_conn };
 
 void
 hk_http_conn_hand_over (struct hk_http_conn *conn)
--- a/tests/platform/crowd.c
+++ b/tests/platform/crowd.c
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -11,9 +12,18 @@
 
 /* Sent by each connection in a turn, so that all of them grow together. */
 #define TURN_BYTES 8192
+/* With these the kernel keeps few unread bytes of a loopback connection. */
+#define SMALL_SEGMENT 536
+#define SMALL_RECEIVE 2048
 
-int
-crowd_connect (const char *address)
+struct crowd_buffers
+{
+  int segment;
+  int receive;
+};
+
+static int
+connect_with (const char *address, const struct crowd_buffers *buffers)
 {
   struct sockaddr_in sa = { .sin_family = AF_INET };
   const char *port = strchr (address, ':') + 1;
@@ -21,6 +31,15 @@
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
   g_assert_cmpint (fd, >=, 0);
+  if (buffers)
+    {
+      g_assert_cmpint (setsockopt (fd, IPPROTO_TCP, TCP_MAXSEG,
+                                   &buffers->segment, sizeof (int)),
+                       ==, 0);
+      g_assert_cmpint (setsockopt (fd, SOL_SOCKET, SO_RCVBUF,
+                                   &buffers->receive, sizeof (int)),
+                       ==, 0);
+    }
   sa.sin_port = htons ((uint16_t)g_ascii_strtoull (port, NULL, 10));
   g_assert_cmpint (inet_pton (AF_INET, ip, &sa.sin_addr), ==, 1);
   if (connect (fd, (struct sockaddr *)&sa, sizeof sa) < 0)
@@ -28,6 +47,20 @@
   return fd;
 }
 
+int
+crowd_connect (const char *address)
+{
+  return connect_with (address, NULL);
+}
+
+int
+crowd_connect_small (const char *address)
+{
+  const struct crowd_buffers small = { SMALL_SEGMENT, SMALL_RECEIVE };
+
+  return connect_with (address, &small);
+}
+
 void
 crowd_run_loop (void)
 {
--- a/tests/platform/crowd.h
+++ b/tests/platform/crowd.h
@@ -53,6 +53,9 @@
 /** crowd_connect() - begin a connection to "ip:port"; returns its socket. */
 int crowd_connect (const char *address);
 
+/** crowd_connect_small() - the same, with small buffers for responses. */
+int crowd_connect_small (const char *address);
+
 /** crowd_run_loop() - serve the stand-ins in this process. */
 void crowd_run_loop (void);
 
--- a/tests/platform/test_untrusted.c
+++ b/tests/platform/test_untrusted.c
@@ -290,9 +290,8 @@
 }
 
 static void
-run_crowd (gconstpointer data)
+run (const struct crowd *c, int (*connect_member) (const char *address))
 {
-  const struct crowd *c = data;
   g_autofree struct crowd_member *members
       = g_new0 (struct crowd_member, c->connections);
   struct fixture f;
@@ -300,7 +299,7 @@
 
   fixture_init (&f, c);
   for (unsigned i = 0; i < c->connections; i++)
-    members[i].fd = crowd_connect (f.target);
+    members[i].fd = connect_member (f.target);
   crowd_send (members, c, MIN (c->bytes, FIRST_BYTES), sample, &f);
   answered = check_process (&f);
   crowd_send (members, c, c->bytes, sample, &f);
@@ -318,6 +317,18 @@
   fixture_finish (&f);
 }
 
+static void
+run_crowd (gconstpointer data)
+{
+  run (data, crowd_connect);
+}
+
+static void
+run_unread (gconstpointer data)
+{
+  run (data, crowd_connect_small);
+}
+
 /* Guards against a descriptor that stays open for each client that closes its
    connection after a response: libsoup kept it. */
 static void
@@ -394,6 +405,7 @@
 
 #define REQUEST_LINE "GET /q/ HTTP/1.1\r\nHost: h\r\n"
 #define FIELD "X-Field: 0123456789012345678901234567890123456789\r\n"
+#define METRICS_REQUEST "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"
 #define BODY_HEADER(path)                                                     \
   "POST " path " HTTP/1.1\r\nHost: h\r\nContent-Length: 250000\r\n\r\n"
 /* Record mark of 4,000,000 bytes; its first byte is sent as part of @head. */
@@ -427,6 +439,17 @@
   { "daemon_connections", CROWD_DAEMON, 400, "", "x", 0, FDS_LIMIT },
 };
 
+/* Guards against connections that stay open because their clients do not read
+   the responses. */
+static const struct crowd unread[] = {
+  { "unread_responses", CROWD_ENTRY, 250, "", METRICS_REQUEST, 40000,
+    FDS_LIMIT },
+  { "agent_unread_responses", CROWD_AGENT, 250, "", METRICS_REQUEST, 40000,
+    FDS_LIMIT },
+  { "daemon_unread_responses", CROWD_DAEMON, 250, "", METRICS_REQUEST, 40000,
+    FDS_LIMIT },
+};
+
 static const struct crowd closing[] = {
   { "closed", CROWD_ENTRY, 0, "", "", 0, 0 },
   { "agent_closed", CROWD_AGENT, 0, "", "", 0, 0 },
@@ -436,17 +459,23 @@
 static const struct crowd callers
     = { "unread_replies", CROWD_ENTRY_RPC, 0, "", "", 0, 0 };
 
-int
-main (int argc, char **argv)
+static void
+add_crowds (const struct crowd *list, size_t n, GTestDataFunc test)
 {
-  g_test_init (&argc, &argv, NULL);
-  for (guint i = 0; i < G_N_ELEMENTS (crowds); i++)
+  for (size_t i = 0; i < n; i++)
     {
-      g_autofree char *path
-          = g_strdup_printf ("/untrusted/%s", crowds[i].name);
+      g_autofree char *path = g_strdup_printf ("/untrusted/%s", list[i].name);
 
-      g_test_add_data_func (path, &crowds[i], run_crowd);
+      g_test_add_data_func (path, &list[i], test);
     }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  add_crowds (crowds, G_N_ELEMENTS (crowds), run_crowd);
+  add_crowds (unread, G_N_ELEMENTS (unread), run_unread);
   g_test_add_data_func ("/untrusted/closed", &closing[0],
                         closed_connections_leave_no_descriptors);
   g_test_add_data_func ("/untrusted/agent_closed", &closing[1],
