Move the counters of the guard to a file of their own

The counters and log lines of limited connections are now in guard_counts.c, and the sending of RPC calls is with the other parts of a crowd. The log line keeps its fields and their order.

--- a/src/rpc/guard.c
+++ b/src/rpc/guard.c
@@ -6,8 +6,8 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include "guard_counts.h"
 #include "hyssopkeel/clock.h"
-#include "hyssopkeel/log.h"
 #include "hyssopkeel/metrics.h"
 #include "hyssopkeel/timer.h"
 
@@ -31,12 +31,6 @@
 #define BLOCKED_CHECK_MS 15000
 /* Busy connections that are looked at in one tick or search. */
 #define BUSY_TRIES_MAX 64
-#define LOG_INTERVAL_MS 1000
-
-static const char *const cause_names[HK_GUARD_N_CAUSES]
-    = { "header_size",  "empty_lines",  "header_timeout",
-        "body_timeout", "idle_timeout", "response_timeout",
-        "memory",       "descriptors",  "accept_failed" };
 
 static struct
 {
@@ -51,9 +45,6 @@
   gboolean ticking;
   struct hk_timer tick_timer;
   struct hk_timer shed_timer;
-  uint64_t unlogged[HK_GUARD_N_CAUSES];
-  int64_t logged_ms;
-  struct hk_metric *closed[HK_GUARD_N_CAUSES];
   struct hk_metric *connections;
   struct hk_metric *held;
 } guard;
@@ -63,14 +54,7 @@
 static void
 create_metrics (void)
 {
-  for (int i = 0; i < HK_GUARD_N_CAUSES; i++)
-    {
-      g_autofree char *labels
-          = g_strdup_printf ("cause=\"%s\"", cause_names[i]);
-
-      guard.closed[i]
-          = hk_metric_get ("hyssopkeel_connections_limited_total", labels);
-    }
+  guard_counts_init ();
   guard.connections = hk_metric_get ("hyssopkeel_connections", "");
   guard.held = hk_metric_get ("hyssopkeel_unfinished_request_bytes", "");
 }
@@ -112,30 +96,17 @@
 static void
 log_counts (void)
 {
-  uint64_t sum = 0;
+  g_autofree char *state = NULL;
 
-  for (int i = 0; i < HK_GUARD_N_CAUSES; i++)
-    sum += guard.unlogged[i];
-  if (sum == 0 || hk_clock_ms () - guard.logged_ms < LOG_INTERVAL_MS)
+  if (!guard_counts_due ())
     return;
-#define N(cause) (unsigned long long)guard.unlogged[HK_GUARD_##cause]
-  hk_log (HK_LOG_WARN, "guard", NULL, NULL,
-          "event=connections_limited header_size=%llu empty_lines=%llu "
-          "header_timeout=%llu body_timeout=%llu idle_timeout=%llu "
-          "response_timeout=%llu memory=%llu descriptors=%llu "
-          "accept_failed=%llu held_bytes=%zu "
-          "held_limit=%zu connections=%u connections_limit=%u clients=%u "
-          "clients_limit=%u",
-          N (HEADER_SIZE), N (EMPTY_LINES), N (HEADER_TIMEOUT),
-          N (BODY_TIMEOUT), N (IDLE_TIMEOUT), N (RESPONSE_TIMEOUT), N (MEMORY),
-          N (DESCRIPTORS), N (ACCEPT_FAILED), guard.held_bytes,
-          guard.limits.budget_bytes, guard.n_connections,
-          guard.limits.connections_max, guard.n_clients,
-          guard.limits.client_connections_max);
-#undef N
-  for (int i = 0; i < HK_GUARD_N_CAUSES; i++)
-    guard.unlogged[i] = 0;
-  guard.logged_ms = hk_clock_ms ();
+  state = g_strdup_printf (
+      "held_bytes=%zu held_limit=%zu connections=%u connections_limit=%u "
+      "clients=%u clients_limit=%u",
+      guard.held_bytes, guard.limits.budget_bytes, guard.n_connections,
+      guard.limits.connections_max, guard.n_clients,
+      guard.limits.client_connections_max);
+  guard_counts_log (state);
 }
 
 static void
@@ -152,8 +123,7 @@
 hk_guard_count (enum hk_guard_cause cause)
 {
   init_guard ();
-  guard.closed[cause]->value++;
-  guard.unlogged[cause]++;
+  guard_counts_add (cause);
   log_counts ();
   start_ticks ();
 }
--- a/tests/platform/crowd.c
+++ b/tests/platform/crowd.c
@@ -12,6 +12,8 @@
 
 /* Sent by each connection in a turn, so that all of them grow together. */
 #define TURN_BYTES 8192
+/* RPC calls sent at once. */
+#define CALLS 1400
 /* With these the kernel keeps few unread bytes of a loopback connection. */
 #define SMALL_SEGMENT 536
 #define SMALL_RECEIVE 2048
@@ -155,3 +157,23 @@
     }
   g_string_free (block, TRUE);
 }
+
+gboolean
+crowd_send_calls (int fd, size_t *sent, size_t bytes)
+{
+  static const uint8_t call[] = {
+    0x80, 0, 0, 40, 0, 0, 0, 7, 0, 0, 0, 0, 0, 0, 0, 2, 0, 0, 0, 1, 0, 0,
+    0,    1, 0, 0,  0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,
+  };
+  static uint8_t calls[CALLS * sizeof call];
+  size_t offset = *sent % sizeof calls;
+  ssize_t n;
+
+  for (size_t i = 0; i < CALLS; i++)
+    memcpy (calls + i * sizeof call, call, sizeof call);
+  n = send (fd, calls + offset, sizeof calls - offset,
+            MSG_NOSIGNAL | MSG_DONTWAIT);
+  if (n > 0)
+    *sent += (size_t)n;
+  return n > 0 ? *sent < bytes : errno == EAGAIN || errno == ENOTCONN;
+}
--- a/tests/platform/crowd.h
+++ b/tests/platform/crowd.h
@@ -82,4 +82,14 @@
 void crowd_send (struct crowd_member *members, const struct crowd *c,
                  size_t bytes, void (*turn) (void *user), void *user);
 
+/**
+ * crowd_send_calls() - send calls of an RPC program that does not exist.
+ * @fd: connection.
+ * @sent: bytes sent so far.
+ * @bytes: bytes to send altogether.
+ *
+ * Return: whether the connection takes more calls.
+ */
+gboolean crowd_send_calls (int fd, size_t *sent, size_t bytes);
+
 #endif
--- a/tests/platform/test_untrusted.c
+++ b/tests/platform/test_untrusted.c
@@ -3,12 +3,10 @@
    are still open, checks that the process is alive, that its memory and open
    descriptors stayed under a bound, and that an ordinary request is answered.
    Nothing depends on the speed of the machine. */
-#include <errno.h>
 #include <gio/gio.h>
 #include <glib/gstdio.h>
 #include <string.h>
 #include <sys/resource.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "../soak/store.h"
@@ -351,39 +349,16 @@
   fixture_finish (&f);
 }
 
-/* A call of a program that does not exist. */
-static const uint8_t call[] = {
-  0x80, 0, 0, 40, 0, 0, 0, 7, 0, 0, 0, 0, 0, 0, 0, 2, 0, 0, 0, 1, 0, 0,
-  0,    1, 0, 0,  0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,
-};
-
-/* Returns whether the connection takes more calls; @sent counts their bytes.
- */
-static gboolean
-send_calls (int fd, const GByteArray *calls, size_t *sent)
-{
-  size_t offset = *sent % calls->len;
-  ssize_t n = send (fd, calls->data + offset, calls->len - offset,
-                    MSG_NOSIGNAL | MSG_DONTWAIT);
-
-  if (n > 0)
-    *sent += (size_t)n;
-  return n > 0 ? *sent < CALLS_BYTES : errno == EAGAIN || errno == ENOTCONN;
-}
-
 /* Guards against memory that grows with replies that a peer does not read. */
 static void
 unread_replies_are_bounded (gconstpointer data)
 {
-  g_autoptr (GByteArray) calls = g_byte_array_new ();
   int64_t end = hk_clock_ms () + CROWD_LIMIT_MS;
   size_t sent[CALLERS] = { 0 };
   int fds[CALLERS];
   gboolean more = TRUE;
   struct fixture f;
 
-  while (calls->len < FIRST_BYTES)
-    g_byte_array_append (calls, call, sizeof call);
   fixture_init (&f, data);
   for (int i = 0; i < CALLERS; i++)
     fds[i] = crowd_connect (f.target);
@@ -391,7 +366,7 @@
     {
       more = FALSE;
       for (int i = 0; i < CALLERS; i++)
-        more = send_calls (fds[i], calls, &sent[i]) || more;
+        more = crowd_send_calls (fds[i], &sent[i], CALLS_BYTES) || more;
       sample (&f);
       crowd_run_loop ();
     }
