Give each test process a loopback address of its own

A test took a port that the system offered, and listened on it later; a test that ran beside it could be offered the same port meanwhile. Suspected cause of one failure of test-evacuate in 23 runs beside load (a report without a reply, HK_ERR_TIMEOUT, log not kept); it was not seen again, so this is not proved. Ten tests that use such addresses pass.

--- a/tests/support/jobs.c
+++ b/tests/support/jobs.c
@@ -3,6 +3,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "hyssopkeel/clock.h"
 #include "hyssopkeel/timer.h"
@@ -42,19 +43,26 @@
   test_run_until (is_time_over, &until);
 }
 
+/* Each process has a loopback address of its own: a test that runs beside this
+   one could be offered the same port before it is listened on. */
 static char *
 unused_address (void)
 {
+  unsigned pid = (unsigned)getpid ();
+  g_autofree char *ip
+      = g_strdup_printf ("127.%u.%u.%u", 1 + (pid >> 16) % 250,
+                         (pid >> 8) & 255, 1 + (pid & 255) % 254);
   g_autoptr (GSocketAddress) any
-      = g_inet_socket_address_new_from_string ("127.0.0.1", 0);
+      = g_inet_socket_address_new_from_string (ip, 0);
   g_autoptr (GSocket) socket = g_socket_new (
       G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
   g_autoptr (GSocketAddress) bound = NULL;
 
   g_assert_true (g_socket_bind (socket, any, TRUE, NULL));
   bound = g_socket_get_local_address (socket, NULL);
-  return g_strdup_printf ("127.0.0.1:%u", g_inet_socket_address_get_port (
-                                              G_INET_SOCKET_ADDRESS (bound)));
+  return g_strdup_printf (
+      "%s:%u", ip,
+      g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (bound)));
 }
 
 char *
