Let the soak's workers run without a callback for starts

The tool with crowds at full size uses these workers and ended by a signal at its first start since the soak counts starts in evacuated domains.

--- a/tests/soak/runs.c
+++ b/tests/soak/runs.c
@@ -242,7 +242,8 @@
   plan_run (w, run);
   g_ptr_array_add (w->runs, run);
   soak_oracle_start (w->oracle, task, w->name, run->deadly, late);
-  w->on_start (w, task, late, w->user);
+  if (w->on_start)
+    w->on_start (w, task, late, w->user);
   return NULL;
 }
 
--- a/tests/soak/worker.h
+++ b/tests/soak/worker.h
@@ -28,7 +28,7 @@
  *          take longer.
  * @cpu_milli: capacity.
  * @cpu_limit_milli: capacity before it shrank; allowed until @limit_until_ms.
- * @on_start: called after each start with @user; @late as in
+ * @on_start: called after each start with @user, or NULL; @late as in
  *            soak_oracle_start().
  * @runs: struct run, ended ones included.
  * @late: bodies of orders to carry out late.
