--- a/include/hyssopkeel/store.h
+++ b/include/hyssopkeel/store.h
@@ -135,10 +135,9 @@
 /**
  * struct hk_store_watch_ops - callbacks of a watch.
  * @reset: the watch reads all keys again, since it has just begun or since the
- *         store no longer has the events: keys that are no event up to the
- * next
+ *         store no longer has the events. Keys without an event up to the next
  *         @progress do not exist. NULL if not needed; only the platform's
- * store calls it.
+ *         store calls it.
  * @event: a key was written, or deleted if the value of @kv is NULL.
  * @progress: all events up to @revision were delivered.
  * @lost: the watch ended on an error; @compacted is TRUE if events were
