Show that service tasks start one by one after crashes of their endpoint

Cause: an exclusive suspect is not placed while another run of its job is watched, so that the tasks of a job wait for each other's probation.

--- a/review/cluster-2.c
+++ b/review/cluster-2.c
@@ -363,6 +363,19 @@
   w->born_ms = 0;
 }
 
+gboolean
+rv_worker_runs (const struct rv_worker *w, const char *task)
+{
+  for (guint i = 0; i < w->runs->len; i++)
+    {
+      const struct rv_run *run = w->runs->pdata[i];
+
+      if (!run->how && strcmp (run->task, task) == 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 static void
 worker_init (struct rv_cluster *c, unsigned i)
 {
--- a/review/cluster-2.h
+++ b/review/cluster-2.h
@@ -133,6 +133,9 @@
 /** rv_worker_down() - crash a worker: it drops all runs and connections. */
 void rv_worker_down (struct rv_worker *w);
 
+/** rv_worker_runs() - whether a run of a task goes on at a worker. */
+gboolean rv_worker_runs (const struct rv_worker *w, const char *task);
+
 /** rv_worker_up() - start the next lifetime of a worker that is down, under
  * the id that it had. */
 void rv_worker_up (struct rv_worker *w);
