Show that a late start runs beside the run that replaced it

Cause: an endpoint that is back under its id rejects no start that was sent before until its agent has called it, while the coordinator has ended that run.

--- a/review/cluster-2.c
+++ b/review/cluster-2.c
@@ -257,6 +257,16 @@
           renew (w, msg, body);
           return;
         }
+      if (strcmp (path, "/api/run-start") == 0 && w->unanswered > 0)
+        {
+          w->unanswered--;
+          w->late = json_object_get (body);
+          rv_note (w->c, "%s leaves the start of %s run %d unanswered", w->id,
+                   hk_json_str (body, "task"),
+                   (int)hk_json_int (body, "runId"));
+          soup_server_message_pause (msg);
+          return;
+        }
       if (strcmp (path, "/api/run-start") == 0)
         {
           respond (w, msg, start_run (w, body));
@@ -300,6 +310,19 @@
   g_free (waiting);
 }
 
+/* An order that was left unanswered, with what it named when it was sent. */
+static void
+late_start (struct rv_worker *w)
+{
+  int64_t fence = hk_json_int (w->late, "fencingToken");
+  const char *refused = fence < w->fence ? "fence" : start_run (w, w->late);
+
+  w->fence = MAX (w->fence, fence);
+  rv_note (w->c, "%s carries out the unanswered start: %s", w->id,
+           refused ? refused : "started");
+  w->late_ms = 0;
+}
+
 static void
 worker_tick (struct rv_worker *w)
 {
@@ -307,6 +330,8 @@
 
   if (!w->born_ms)
     return;
+  if (w->late && w->late_ms && now >= w->late_ms)
+    late_start (w);
   for (guint i = 0; i < w->runs->len; i++)
     {
       struct rv_run *run = w->runs->pdata[i];
--- a/review/cluster-2.h
+++ b/review/cluster-2.h
@@ -29,6 +29,9 @@
  * @sequence: number of liveness reports sent.
  * @runs: struct rv_run, ended ones included until they are forgotten.
  * @waiting: renewals without a response.
+ * @unanswered: number of coming starts that are left unanswered.
+ * @late: the last of these; it is carried out at @late_ms, unless the worker
+ *        is down then or refuses it.
  */
 struct rv_worker
 {
@@ -48,6 +51,9 @@
   int64_t next_report_ms;
   GPtrArray *runs;
   GPtrArray *waiting;
+  unsigned unanswered;
+  json_object *late;
+  int64_t late_ms;
   SoupServer *server;
   SoupSession *session;
 };
