Log the attempts of an entry to forward a request

The logs could not tell which attempt of which request the leader had accepted: lines for attempts were missing, and the leader's lines named neither the attempt nor its age.

Requests carry the number of the attempt and the age of the request when it was sent. The leader logs both with event=accepted and event=refused; an attempt to submit or to cancel without an answer is logged by the entry (event=attempt_unanswered).

The logic is unchanged.

--- a/include/hyssopkeel/hk_job_xdr.h
+++ b/include/hyssopkeel/hk_job_xdr.h
@@ -286,6 +286,12 @@
 };
 typedef enum hk_job_request_kind hk_job_request_kind;
 
+struct hk_request_attempt {
+	u_int number;
+	u_int age_ms;
+};
+typedef struct hk_request_attempt hk_request_attempt;
+
 struct hk_job_request_args {
 	hk_job_request_kind kind;
 	char *id;
@@ -294,6 +300,7 @@
 		u_int job_len;
 		hk_job_spec *job_val;
 	} job;
+	hk_request_attempt attempt;
 };
 typedef struct hk_job_request_args hk_job_request_args;
 
@@ -407,6 +414,7 @@
 extern  bool_t xdr_hk_run_id (XDR *, hk_run_id*);
 extern  bool_t xdr_hk_sync_reply (XDR *, hk_sync_reply*);
 extern  bool_t xdr_hk_job_request_kind (XDR *, hk_job_request_kind*);
+extern  bool_t xdr_hk_request_attempt (XDR *, hk_request_attempt*);
 extern  bool_t xdr_hk_job_request_args (XDR *, hk_job_request_args*);
 extern  bool_t xdr_hk_job_request_outcome (XDR *, hk_job_request_outcome*);
 extern  bool_t xdr_hk_job_request_reply (XDR *, hk_job_request_reply*);
@@ -437,6 +445,7 @@
 extern bool_t xdr_hk_run_id ();
 extern bool_t xdr_hk_sync_reply ();
 extern bool_t xdr_hk_job_request_kind ();
+extern bool_t xdr_hk_request_attempt ();
 extern bool_t xdr_hk_job_request_args ();
 extern bool_t xdr_hk_job_request_outcome ();
 extern bool_t xdr_hk_job_request_reply ();
--- a/src/coord/coord_forward.c
+++ b/src/coord/coord_forward.c
@@ -23,11 +23,12 @@
   hk_job_request_args args;
   int64_t received_ms;
   int64_t deadline_ms;
-  gboolean encodable; /* @args could be copied */
-  gboolean stale;     /* may have been cancelled before it was read */
-  gboolean delivered; /* may have reached a coordinator */
-  gboolean in_flight; /* an attempt is */
-  gboolean finished;  /* answered; released when the attempt in flight ends */
+  int64_t attempted_ms; /* the last attempt began */
+  gboolean encodable;   /* @args could be copied */
+  gboolean stale;       /* may have been cancelled before it was read */
+  gboolean delivered;   /* may have reached a coordinator */
+  gboolean in_flight;   /* an attempt is */
+  gboolean finished; /* answered; released when the attempt in flight ends */
   struct hk_timer timer;
   hk_coord_request_done done;
   void *user;
@@ -139,12 +140,28 @@
   request_finish (q, reply);
 }
 
+/* Only of requests that change something; the others may be repeated freely.
+ */
+static void
+log_unanswered (const struct coord_request *q, int rc,
+                const struct hk_error *err)
+{
+  if (q->args.kind != HK_JOB_REQUEST_SUBMIT
+      && q->args.kind != HK_JOB_REQUEST_CANCEL)
+    return;
+  hk_log (HK_LOG_WARN, "ask", err->peer, q->args.id,
+          "event=attempt_unanswered kind=%d attempt=%u sent=%d cause=\"%s\" "
+          "after_ms=%" G_GINT64_FORMAT " age_ms=%" G_GINT64_FORMAT,
+          q->args.kind, q->args.attempt.number, rc != HK_ERR_UNAVAILABLE,
+          err->text, hk_clock_ms () - q->attempted_ms,
+          hk_clock_ms () - q->received_ms);
+}
+
 static void
 on_rpc_reply (int rc, void *result, const struct hk_error *err, void *user)
 {
   struct coord_request *q = user;
 
-  (void)err;
   if (rc == HK_OK)
     {
       const hk_job_request_reply *reply = result;
@@ -163,9 +180,19 @@
     }
   if (rc != HK_ERR_UNAVAILABLE)
     q->delivered = TRUE;
+  log_unanswered (q, rc, err);
   request_timer_set (q, RETRY_MS);
 }
 
+static void
+attempt_begin (struct coord_request *q)
+{
+  q->in_flight = TRUE;
+  q->attempted_ms = hk_clock_ms ();
+  q->args.attempt.number++;
+  q->args.attempt.age_ms = (u_int)(q->attempted_ms - q->received_ms);
+}
+
 static void
 request_attempt (struct coord_request *q)
 {
@@ -179,7 +206,7 @@
     }
   if (c->state == COORD_LEADING)
     {
-      q->in_flight = TRUE;
+      attempt_begin (q);
       q->delivered = TRUE;
       request_timer_set (q, left);
       coord_request_handle (c, &q->args, on_reply, q);
@@ -187,7 +214,7 @@
   else if (c->state == COORD_FOLLOWING && c->leader.connected
            && c->leader.channel.address)
     {
-      q->in_flight = TRUE;
+      attempt_begin (q);
       request_timer_set (q, left);
       hk_rpc_call (&c->leader.channel, &request_method, &q->args,
                    MIN (left, ATTEMPT_TIMEOUT_MS), on_rpc_reply, q);
--- a/src/coord/coord_request.c
+++ b/src/coord/coord_request.c
@@ -70,8 +70,10 @@
       if (reason || !coord_admit (c, spec, &retry_after_s, &reason))
         {
           hk_log (HK_LOG_INFO, "coord", NULL, args->id,
-                  "event=refused queue=%s why=\"%s\" retry_after_s=%u",
-                  args->queue, reason, retry_after_s);
+                  "event=refused queue=%s why=\"%s\" retry_after_s=%u "
+                  "attempt=%u attempt_age_ms=%u",
+                  args->queue, reason, retry_after_s, args->attempt.number,
+                  args->attempt.age_ms);
           reply_now (done, user, HK_JOB_REQUEST_REFUSED, reason,
                      retry_after_s);
           return;
@@ -88,8 +90,10 @@
           return;
         }
       hk_log (HK_LOG_INFO, "coord", NULL, args->id,
-              "event=accepted queue=%s urgency=%u steps=%u tasks=%u",
-              spec->queue, spec->urgency, spec->steps.steps_len, job->n_tasks);
+              "event=accepted queue=%s urgency=%u steps=%u tasks=%u "
+              "attempt=%u attempt_age_ms=%u",
+              spec->queue, spec->urgency, spec->steps.steps_len, job->n_tasks,
+              args->attempt.number, args->attempt.age_ms);
     }
   coord_waiter_add (job, &stored, done, user);
   coord_pass_schedule (c);
--- a/src/rpc/hk_job.x
+++ b/src/rpc/hk_job.x
@@ -225,12 +225,20 @@
   HK_JOB_REQUEST_PENDING = 3
 };
 
+/* Which attempt of a front end to send a request this is: its number, counted
+   from 1, and the time since the front end received the request. */
+struct hk_request_attempt {
+  unsigned number;
+  unsigned age_ms;
+};
+
 /* A request that a front end forwards to the leading coordinator. */
 struct hk_job_request_args {
   hk_job_request_kind kind;
   string id<HK_JOB_NAME_MAX>;
   string queue<HK_JOB_TEXT_MAX>;
   hk_job_spec job<1>;
+  hk_request_attempt attempt;
 };
 
 enum hk_job_request_outcome {
--- a/src/rpc/hk_job_xdr.c
+++ b/src/rpc/hk_job_xdr.c
@@ -970,6 +970,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_hk_request_attempt (XDR *xdrs, hk_request_attempt *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_hk_job_request_args (XDR *xdrs, hk_job_request_args *objp)
 {
@@ -984,6 +996,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->job.job_val, (u_int *) &objp->job.job_len, 1,
 		sizeof (hk_job_spec), (xdrproc_t) xdr_hk_job_spec))
 		 return FALSE;
+	 if (!xdr_hk_request_attempt (xdrs, &objp->attempt))
+		 return FALSE;
 	return TRUE;
 }
 
