Reject attempts that arrive after their request was refused

The client's own retries were refused as well.

Cause: an entry that gives up an attempt cannot call it back. Its bytes wait in the network or in the socket of the leader, and are delivered although the connection is closed. The entry sent a second attempt, which the leader refused, as the store was away; the first one then reached the same leader, which did not know that it had been superseded. Of what was in doubt, the next request for the same id knew nothing, at this entry or another.

Change: what arrives late is rejected by the leader, so that its refusals are true. Each attempt carries the term of the leader that it is sent to, and two times on that leader's clock, which the replies to pings carry: when the entry received the request, and when it gives the attempt up. The leader does not carry out an attempt of another term, an expired one, or one whose request was received before the leader last refused that id. The last needs memory, which no successor needs: attempts of its predecessors' terms are rejected by their term, and commits of predecessors fail on the fence. Cancellations are treated the same. An attempt that was certainly not carried out (NOT_TAKEN) no longer makes the outcome unknown.

hk_coord_options has an address to listen on that differs from the one that others connect to, setting rpc_listen; tests put a link between.

--- a/include/hyssopkeel/coord.h
+++ b/include/hyssopkeel/coord.h
@@ -12,6 +12,7 @@
  * struct hk_coord_options - settings of a coordinator.
  * @name: name of this process, unique in the installation.
  * @address: "ip:port" at which the others reach its RPC server.
+ * @listen: "ip:port" that the server listens on; NULL for @address.
  * @authority: durations of its own authority, lease grants and leases.
  * @keep_ended_ms: retention period of the state of an ended job.
  * @record_max_bytes: limit of each record of a job in the store.
@@ -28,6 +29,7 @@
 {
   const char *name;
   const char *address;
+  const char *listen;
   struct hk_authority authority;
   int64_t keep_ended_ms;
   size_t record_max_bytes;
@@ -128,7 +130,8 @@
  * @user: argument of @done.
  *
  * Requests are idempotent by job id, so they are sent again after a takeover.
- * HK_JOB_REQUEST_REFUSED means that nothing was stored and nothing will run;
+ * HK_JOB_REQUEST_REFUSED means that nothing was stored and nothing will run,
+ * whatever attempts of this process are still on their way;
  * HK_JOB_REQUEST_UNKNOWN that the request may have been carried out.
  */
 void hk_coord_request (struct hk_coord *c, const hk_job_request_args *args,
--- a/include/hyssopkeel/hk_job_xdr.h
+++ b/include/hyssopkeel/hk_job_xdr.h
@@ -289,6 +289,9 @@
 struct hk_request_attempt {
 	u_int number;
 	u_int age_ms;
+	u_quad_t term;
+	quad_t received_ms;
+	quad_t expires_ms;
 };
 typedef struct hk_request_attempt hk_request_attempt;
 
@@ -310,6 +313,7 @@
 	HK_JOB_REQUEST_UNKNOWN = 2,
 	HK_JOB_REQUEST_NOT_FOUND = 3,
 	HK_JOB_REQUEST_NOT_LEADING = 4,
+	HK_JOB_REQUEST_NOT_TAKEN = 5,
 };
 typedef enum hk_job_request_outcome hk_job_request_outcome;
 
@@ -347,6 +351,7 @@
 	u_quad_t term;
 	u_int store_age_ms;
 	u_int capacity_score_percent;
+	quad_t clock_ms;
 };
 typedef struct hk_ping_reply hk_ping_reply;
 
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -148,6 +148,7 @@
   reply.leading = c->state == COORD_LEADING || c->state == COORD_LOADING;
   reply.resigning = c->resigned;
   reply.term = c->term;
+  reply.clock_ms = now;
   reply.capacity_score_percent = c->capacity_score_percent;
   reply.awaiting_agents = reply.leading && awaits_agents (c);
   if (c->commit.confirmed_ms > 0)
@@ -174,11 +175,13 @@
   c->store = store;
   c->name = g_strdup (options->name);
   c->address = g_strdup (options->address);
+  c->listen = g_strdup (options->listen ? options->listen : options->address);
   c->authority = options->authority;
   c->keep_ended_ms = options->keep_ended_ms;
   c->capacity_score_percent = MIN (options->capacity_score_percent,
                                    COORD_CAPACITY_SCORE_MAX_PERCENT);
   LIST_INIT (&c->requests);
+  hk_refusals_init (&c->refusals);
   TAILQ_INIT (&c->predecessors);
   c->record_max_bytes = options->record_max_bytes;
   coord_engine_init (c);
@@ -200,7 +203,7 @@
   c->server.handlers = handlers;
   c->server.n_handlers = G_N_ELEMENTS (handlers);
   c->server.user = c;
-  rc = hk_rpc_server_start (&c->server, c->address, err);
+  rc = hk_rpc_server_start (&c->server, c->listen, err);
   if (rc < 0)
     return rc;
   c->started = TRUE;
@@ -238,12 +241,14 @@
   hk_engine_finish (&c->engine);
   g_free (c->loaded_silent);
   coord_evacuations_finish (&c->evacuations);
+  hk_refusals_finish (&c->refusals);
   g_hash_table_unref (c->estimates);
   g_hash_table_unref (c->mean_work);
   hk_interference_model_finish (&c->interference_model);
   coord_locality_finish (&c->locality);
   g_free (c->name);
   g_free (c->address);
+  g_free (c->listen);
   c->closed = TRUE;
   if (c->store_calls == 0)
     g_free (c);
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -14,6 +14,7 @@
 #include "hyssopkeel/interference_model.h"
 #include "hyssopkeel/job_placement.h"
 #include "hyssopkeel/pass_budget.h"
+#include "hyssopkeel/refusals.h"
 #include "hyssopkeel/rpc_channel.h"
 #include "hyssopkeel/rpc_server.h"
 #include "hyssopkeel/timer.h"
@@ -162,6 +163,11 @@
   gboolean connected;
   gboolean pinging;
   unsigned missed_pings; /* pings timed out or failed in a row */
+  /* Valid while connected: at @clock_read_ms the leader's clock showed
+     @clock_ms or more, and it led in @clock_term. */
+  uint64_t clock_term;
+  int64_t clock_ms;
+  int64_t clock_read_ms;
 };
 
 /* A former leader that may still give lease grants. None of its commits was
@@ -194,6 +200,7 @@
   struct hk_store *store;
   char *name;
   char *address;
+  char *listen;
   struct hk_authority authority;
   int64_t keep_ended_ms;
   size_t record_max_bytes;
@@ -252,6 +259,7 @@
   struct hk_interference_model interference_model;
   struct coord_locality locality;
   LIST_HEAD (, coord_request) requests;
+  struct hk_refusals refusals; /* of requests that change something */
   gboolean ends_requests; /* no further attempts; see hk_coord_end_requests */
 
   /* memory of struct coord_pass */
@@ -288,6 +296,9 @@
 void coord_follow_stop (struct hk_coord *c);
 void coord_leader_ping (struct hk_coord *c);
 void coord_store_answered (struct hk_coord *c);
+/* Earliest time on the leader's clock at which this process's clock can have
+   shown @ms. */
+int64_t coord_leader_clock (const struct coord_leader *l, int64_t ms);
 
 /* coord_lead.c */
 gboolean coord_lead_record_apply (struct hk_coord *c,
@@ -347,6 +358,10 @@
 void coord_on_request (struct hk_rpc_request *req, void *args, void *user);
 void coord_request_handle (struct hk_coord *c, const hk_job_request_args *args,
                            hk_coord_request_done done, void *user);
+/* Notes that all earlier attempts of such a request for this id are refused.
+   To be called before any caller gets the refusal. */
+void coord_refusal_add (struct hk_coord *c, hk_job_request_kind kind,
+                        const char *id);
 
 /* coord_where.c */
 void coord_where_answer (struct hk_coord *c, const hk_job_spec *spec,
@@ -363,8 +378,8 @@
                        hk_coord_request_done done, void *user);
 void coord_waiters_notify (struct hk_engine_job *job);
 void coord_waiters_drop (struct hk_engine_job *job);
-void coord_waiters_refuse (struct hk_engine_job *job, const char *reason,
-                           unsigned retry_after_s);
+void coord_waiters_refuse (struct hk_coord *c, struct hk_engine_job *job,
+                           const char *reason, unsigned retry_after_s);
 
 /* coord_schedule.c */
 void coord_schedule (struct hk_coord *c, int64_t now);
--- a/src/coord/coord_commit.c
+++ b/src/coord/coord_commit.c
@@ -138,7 +138,7 @@
 /* A job that was never stored is refused. One that was keeps its last record,
    and places nothing more until a record fits again. */
 static void
-job_too_big (struct hk_engine_job *job)
+job_too_big (struct hk_coord *c, struct hk_engine_job *job)
 {
   if (!job->records_too_big)
     hk_log (HK_LOG_ERROR, "coord", NULL, job->spec.id,
@@ -149,7 +149,7 @@
   job->records_too_big = TRUE;
   if (job->sent_version > 0 || job->committed_version > 0)
     return;
-  coord_waiters_refuse (job, "the job is over the limit of a record", 0);
+  coord_waiters_refuse (c, job, "the job is over the limit of a record", 0);
   hk_engine_job_remove (job);
 }
 
@@ -175,7 +175,7 @@
       e->n_dirty--;
       if (builder_add_job (b, job) < 0)
         {
-          job_too_big (job);
+          job_too_big (c, job);
           continue;
         }
       job->records_too_big = FALSE;
@@ -205,7 +205,7 @@
 }
 
 static void
-drop_if_unsent (struct hk_engine_job *job)
+drop_if_unsent (struct hk_coord *c, struct hk_engine_job *job)
 {
   if (job->sent_version > 0 || job->committed_version > 0)
     return;
@@ -215,7 +215,7 @@
           hk_clock_ms ()
               - (job->is_tombstone ? job->ended_ms : job->accepted_ms),
           job->is_tombstone);
-  coord_waiters_refuse (job, "the store does not answer",
+  coord_waiters_refuse (c, job, "the store does not answer",
                         COORD_STORE_RETRY_AFTER_S);
   hk_engine_job_remove (job);
 }
@@ -229,7 +229,7 @@
   for (job = TAILQ_FIRST (&c->engine.dirty); job; job = next)
     {
       next = TAILQ_NEXT (job, dirty_link);
-      drop_if_unsent (job);
+      drop_if_unsent (c, job);
     }
 }
 
--- a/src/coord/coord_follow.c
+++ b/src/coord/coord_follow.c
@@ -30,6 +30,8 @@
    takeover prolongs the wait for unresponsive agents. */
 #define TENURE_MIN_CAPACITY_MS 5000
 #define WATCH_RETRY_MS 300
+/* The clocks of two processes may drift apart by one part in this many. */
+#define CLOCK_DRIFT_PART 25
 /* Maximum random delay of the first ping, so that processes that start
    together do not act at once. */
 #define START_JITTER_MS 60
@@ -91,6 +93,26 @@
   return NULL;
 }
 
+int64_t
+coord_leader_clock (const struct coord_leader *l, int64_t ms)
+{
+  int64_t since_read = ms - l->clock_read_ms;
+
+  return l->clock_ms + since_read - ABS (since_read) / CLOCK_DRIFT_PART;
+}
+
+/* A reply that took long tells less than an earlier one that did not. */
+static void
+clock_read (struct coord_leader *l, const hk_ping_reply *reply, int64_t now)
+{
+  if (l->clock_term == reply->term
+      && coord_leader_clock (l, now) >= reply->clock_ms)
+    return;
+  l->clock_term = reply->term;
+  l->clock_ms = reply->clock_ms;
+  l->clock_read_ms = now;
+}
+
 /* Pings */
 
 static void
@@ -107,6 +129,7 @@
     return;
   if (rc == HK_OK && reply->leading)
     {
+      clock_read (l, reply, now);
       if (!l->connected)
         {
           l->connected = TRUE;
--- a/src/coord/coord_forward.c
+++ b/src/coord/coord_forward.c
@@ -26,7 +26,8 @@
   int64_t attempted_ms; /* the last attempt began */
   gboolean encodable;   /* @args could be copied */
   gboolean stale;       /* may have been cancelled before it was read */
-  gboolean delivered;   /* may have reached a coordinator */
+  gboolean reached;     /* a coordinator, by an attempt, or perhaps */
+  gboolean in_doubt;    /* an attempt may have been carried out */
   gboolean in_flight;   /* an attempt is */
   gboolean finished; /* answered; released when the attempt in flight ends */
   struct hk_timer timer;
@@ -60,7 +61,7 @@
       = { .outcome = HK_JOB_REQUEST_UNKNOWN, .reason = "" };
 
   /* An attempt in flight may have been stored by now. */
-  if (!q->delivered && !q->in_flight)
+  if (!q->in_doubt && !q->in_flight)
     {
       reply.outcome = HK_JOB_REQUEST_REFUSED;
       reply.reason = "no coordinator can be reached";
@@ -71,9 +72,10 @@
   if (q->c->ends_requests)
     reply.reason = "this process stops";
   hk_log (HK_LOG_WARN, "ask", q->c->leader.address, q->args.id,
-          "event=request_abandoned kind=%d delivered=%d "
+          "event=request_abandoned kind=%d in_doubt=%d attempts=%u "
           "after_ms=%" G_GINT64_FORMAT,
-          q->args.kind, q->delivered, hk_clock_ms () - q->received_ms);
+          q->args.kind, q->in_doubt || q->in_flight, q->args.attempt.number,
+          hk_clock_ms () - q->received_ms);
   request_finish (q, &reply);
 }
 
@@ -105,7 +107,7 @@
       request_refuse (q, READ_AFTER_SUSPENSION, COORD_ELSEWHERE_RETRY_AFTER_S);
     }
   else if (now >= q->deadline_ms || q->c->ends_requests
-           || (!q->delivered && !q->in_flight
+           || (!q->reached && !q->in_flight
                && (now - q->received_ms >= UNDELIVERED_TIMEOUT_MS
                    || coord_isolated (q->c, now))))
     request_abandon (q);
@@ -132,8 +134,11 @@
       g_free (q);
       return;
     }
-  if (reply->outcome == HK_JOB_REQUEST_NOT_LEADING)
+  if (reply->outcome == HK_JOB_REQUEST_NOT_LEADING
+      || reply->outcome == HK_JOB_REQUEST_NOT_TAKEN)
     {
+      /* A former leader may have stored it without a confirmation. */
+      q->in_doubt |= reply->outcome == HK_JOB_REQUEST_NOT_LEADING;
       request_timer_set (q, RETRY_MS);
       return;
     }
@@ -164,12 +169,8 @@
 
   if (rc == HK_OK)
     {
-      const hk_job_request_reply *reply = result;
-
-      /* A former leader may have stored it without a confirmation. */
-      if (reply->outcome == HK_JOB_REQUEST_NOT_LEADING)
-        q->delivered = TRUE;
-      on_reply (reply, q);
+      q->reached = TRUE;
+      on_reply (result, q);
       return;
     }
   q->in_flight = FALSE;
@@ -179,7 +180,7 @@
       return;
     }
   if (rc != HK_ERR_UNAVAILABLE)
-    q->delivered = TRUE;
+    q->reached = q->in_doubt = TRUE;
   log_unanswered (q, rc, err);
   request_timer_set (q, RETRY_MS);
 }
@@ -187,38 +188,57 @@
 static void
 attempt_begin (struct coord_request *q)
 {
+  hk_request_attempt *a = &q->args.attempt;
+
   q->in_flight = TRUE;
   q->attempted_ms = hk_clock_ms ();
-  q->args.attempt.number++;
-  q->args.attempt.age_ms = (u_int)(q->attempted_ms - q->received_ms);
+  a->number++;
+  a->age_ms = (u_int)(q->attempted_ms - q->received_ms);
+}
+
+static void
+request_handle (struct coord_request *q)
+{
+  struct hk_coord *c = q->c;
+
+  attempt_begin (q);
+  q->reached = TRUE;
+  q->args.attempt.term = c->term;
+  q->args.attempt.received_ms = q->received_ms;
+  q->args.attempt.expires_ms = q->deadline_ms;
+  request_timer_set (q, q->deadline_ms - q->attempted_ms);
+  coord_request_handle (c, &q->args, on_reply, q);
+}
+
+static void
+request_forward (struct coord_request *q)
+{
+  struct coord_leader *l = &q->c->leader;
+  int64_t left;
+
+  attempt_begin (q);
+  left = q->deadline_ms - q->attempted_ms;
+  q->args.attempt.term = l->clock_term;
+  q->args.attempt.received_ms = coord_leader_clock (l, q->received_ms);
+  q->args.attempt.expires_ms = coord_leader_clock (
+      l, q->attempted_ms + MIN (left, ATTEMPT_TIMEOUT_MS));
+  request_timer_set (q, left);
+  hk_rpc_call (&l->channel, &request_method, &q->args,
+               MIN (left, ATTEMPT_TIMEOUT_MS), on_rpc_reply, q);
 }
 
 static void
 request_attempt (struct coord_request *q)
 {
   struct hk_coord *c = q->c;
-  int64_t left = q->deadline_ms - hk_clock_ms ();
 
   if (q->in_flight)
-    {
-      request_timer_set (q, left);
-      return;
-    }
-  if (c->state == COORD_LEADING)
-    {
-      attempt_begin (q);
-      q->delivered = TRUE;
-      request_timer_set (q, left);
-      coord_request_handle (c, &q->args, on_reply, q);
-    }
+    request_timer_set (q, q->deadline_ms - hk_clock_ms ());
+  else if (c->state == COORD_LEADING)
+    request_handle (q);
   else if (c->state == COORD_FOLLOWING && c->leader.connected
            && c->leader.channel.address)
-    {
-      attempt_begin (q);
-      request_timer_set (q, left);
-      hk_rpc_call (&c->leader.channel, &request_method, &q->args,
-                   MIN (left, ATTEMPT_TIMEOUT_MS), on_rpc_reply, q);
-    }
+    request_forward (q);
   else
     request_timer_set (q, RETRY_MS);
 }
--- a/src/coord/coord_request.c
+++ b/src/coord/coord_request.c
@@ -16,13 +16,47 @@
   done (&reply, user);
 }
 
+static gboolean
+changes_something (const hk_job_request_args *args)
+{
+  return args->kind == HK_JOB_REQUEST_SUBMIT
+         || args->kind == HK_JOB_REQUEST_CANCEL;
+}
+
+/* Cancellations and submissions of one id are refused independently. */
+static char *
+refusal_key (hk_job_request_kind kind, const char *id)
+{
+  return g_strconcat (kind == HK_JOB_REQUEST_CANCEL ? "cancel:" : "", id,
+                      NULL);
+}
+
+void
+coord_refusal_add (struct hk_coord *c, hk_job_request_kind kind,
+                   const char *id)
+{
+  g_autofree char *key = refusal_key (kind, id);
+
+  hk_refusals_add (&c->refusals, key, hk_clock_ms ());
+}
+
+static void
+refuse (struct hk_coord *c, const hk_job_request_args *args,
+        hk_coord_request_done done, void *user, const char *reason,
+        unsigned retry_after_s)
+{
+  if (changes_something (args))
+    coord_refusal_add (c, args->kind, args->id);
+  reply_now (done, user, HK_JOB_REQUEST_REFUSED, reason, retry_after_s);
+}
+
 static void
-reply_store_failing (struct hk_coord *c, hk_coord_request_done done,
-                     void *user)
+refuse_store_failing (struct hk_coord *c, const hk_job_request_args *args,
+                      hk_coord_request_done done, void *user)
 {
-  reply_now (done, user, HK_JOB_REQUEST_REFUSED, "the store does not answer",
-             coord_isolated (c, hk_clock_ms ()) ? COORD_ELSEWHERE_RETRY_AFTER_S
-                                                : COORD_STORE_RETRY_AFTER_S);
+  refuse (c, args, done, user, "the store does not answer",
+          coord_isolated (c, hk_clock_ms ()) ? COORD_ELSEWHERE_RETRY_AFTER_S
+                                             : COORD_STORE_RETRY_AFTER_S);
 }
 
 static void
@@ -43,7 +77,7 @@
               "event=refused queue=%s why=\"" CANCELLED_BEFORE "\" "
               "cancelled_ms_ago=%" G_GINT64_FORMAT,
               args->queue, now - job->ended_ms);
-      reply_now (done, user, HK_JOB_REQUEST_REFUSED, CANCELLED_BEFORE, 0);
+      refuse (c, args, done, user, CANCELLED_BEFORE, 0);
       return;
     }
   if (job && job->committed_version > 0)
@@ -55,8 +89,7 @@
     {
       if (args->job.job_len != 1)
         {
-          reply_now (done, user, HK_JOB_REQUEST_REFUSED,
-                     "no job in the question", 0);
+          refuse (c, args, done, user, "no job in the question", 0);
           return;
         }
       spec = args->job.job_val;
@@ -74,8 +107,7 @@
                   "attempt=%u attempt_age_ms=%u",
                   args->queue, reason, retry_after_s, args->attempt.number,
                   args->attempt.age_ms);
-          reply_now (done, user, HK_JOB_REQUEST_REFUSED, reason,
-                     retry_after_s);
+          refuse (c, args, done, user, reason, retry_after_s);
           return;
         }
       job = hk_engine_submit (&c->engine, spec, now, coord_wall_ms ());
@@ -85,8 +117,7 @@
                   "event=refused queue=%s why=\"%s\"; a check where jobs "
                   "enter is missing",
                   args->queue, COORD_NOT_ENCODABLE);
-          reply_now (done, user, HK_JOB_REQUEST_REFUSED, COORD_NOT_ENCODABLE,
-                     0);
+          refuse (c, args, done, user, COORD_NOT_ENCODABLE, 0);
           return;
         }
       hk_log (HK_LOG_INFO, "coord", NULL, args->id,
@@ -124,7 +155,7 @@
 
   if (coord_store_failing (c, now))
     {
-      reply_store_failing (c, done, user);
+      refuse_store_failing (c, args, done, user);
       return;
     }
   job = hk_engine_tombstone_add (&c->engine, args->id, args->queue, now,
@@ -135,9 +166,8 @@
               "event=cancel_refused queue=%s tombstones=%u; each is kept for "
               "%" G_GINT64_FORMAT " ms",
               args->queue, c->engine.n_tombstones, c->keep_ended_ms);
-      reply_now (done, user, HK_JOB_REQUEST_REFUSED,
-                 "too many unknown ids were cancelled",
-                 COORD_STORE_RETRY_AFTER_S);
+      refuse (c, args, done, user, "too many unknown ids were cancelled",
+              COORD_STORE_RETRY_AFTER_S);
       return;
     }
   hk_log (HK_LOG_INFO, "coord", NULL, args->id,
@@ -164,7 +194,7 @@
     reply.outcome = HK_JOB_REQUEST_NOT_FOUND;
   if (hk_engine_job_active (job) && coord_store_failing (c, hk_clock_ms ()))
     {
-      reply_store_failing (c, done, user);
+      refuse_store_failing (c, args, done, user);
       return;
     }
   if (hk_engine_job_active (job))
@@ -197,6 +227,55 @@
   done (&reply, user);
 }
 
+/* Whether a request was carried out by an earlier attempt, so that a further
+   one changes nothing. */
+static gboolean
+is_carried_out (struct hk_coord *c, const hk_job_request_args *args)
+{
+  const struct hk_engine_job *job = hk_engine_job_find (&c->engine, args->id);
+
+  return job
+         && (args->kind == HK_JOB_REQUEST_SUBMIT
+             || !hk_engine_job_active (job));
+}
+
+/* Whether an attempt may be carried out; if not, replies to it. Attempts may
+   arrive after their sender has given them up and its client, or that of
+   another process, got a refusal. */
+static gboolean
+attempt_is_due (struct hk_coord *c, const hk_job_request_args *args,
+                hk_coord_request_done done, void *user)
+{
+  const hk_request_attempt *a = &args->attempt;
+  g_autofree char *key = refusal_key (args->kind, args->id);
+  int64_t now = hk_clock_ms ();
+  const char *why = NULL;
+
+  if (a->term != c->term)
+    why = "sent to the leader of another term";
+  else if (now > a->expires_ms)
+    why = "expired";
+  else if (!is_carried_out (c, args)
+           && hk_refusals_supersede (&c->refusals, key, a->received_ms))
+    why = "refused meanwhile";
+  if (!why)
+    return TRUE;
+  hk_metric_get ("hyssopkeel_attempts_rejected_total", "")->value++;
+  hk_log (HK_LOG_INFO, "coord", NULL, args->id,
+          "event=attempt_rejected kind=%d why=\"%s\" attempt=%u "
+          "attempt_term=%" G_GUINT64_FORMAT " term=%" G_GUINT64_FORMAT
+          " received_ms_ago=%" G_GINT64_FORMAT
+          " expired_ms_ago=%" G_GINT64_FORMAT,
+          args->kind, why, a->number, a->term, c->term, now - a->received_ms,
+          now - a->expires_ms);
+  if (a->term == c->term && now <= a->expires_ms)
+    reply_now (done, user, HK_JOB_REQUEST_REFUSED, why,
+               COORD_ELSEWHERE_RETRY_AFTER_S);
+  else
+    reply_now (done, user, HK_JOB_REQUEST_NOT_TAKEN, why, 0);
+  return FALSE;
+}
+
 void
 coord_request_handle (struct hk_coord *c, const hk_job_request_args *args,
                       hk_coord_request_done done, void *user)
@@ -207,15 +286,17 @@
 
   if (c->state != COORD_LEADING)
     {
-      reply_now (done, user, HK_JOB_REQUEST_NOT_LEADING, "does not lead", 0);
+      reply_now (done, user, HK_JOB_REQUEST_NOT_TAKEN, "does not lead", 0);
       return;
     }
+  if (changes_something (args) && !attempt_is_due (c, args, done, user))
+    return;
   /* A successor may lead already: do not answer from stale state. */
   if (args->kind != HK_JOB_REQUEST_SUBMIT
       && coord_isolated (c, hk_clock_ms ()))
     {
-      reply_now (done, user, HK_JOB_REQUEST_REFUSED, "this process is cut off",
-                 COORD_ELSEWHERE_RETRY_AFTER_S);
+      refuse (c, args, done, user, "this process is cut off",
+              COORD_ELSEWHERE_RETRY_AFTER_S);
       return;
     }
   switch (args->kind)
--- a/src/coord/coord_waiter.c
+++ b/src/coord/coord_waiter.c
@@ -80,13 +80,15 @@
 
 /* For jobs that cannot have been stored. */
 void
-coord_waiters_refuse (struct hk_engine_job *job, const char *reason,
-                      unsigned retry_after_s)
+coord_waiters_refuse (struct hk_coord *c, struct hk_engine_job *job,
+                      const char *reason, unsigned retry_after_s)
 {
   hk_job_request_reply reply = { .outcome = HK_JOB_REQUEST_REFUSED,
                                  .reason = (char *)reason,
                                  .retry_after_s = retry_after_s };
 
+  coord_refusal_add (c, HK_JOB_REQUEST_SUBMIT, job->spec.id);
+  coord_refusal_add (c, HK_JOB_REQUEST_CANCEL, job->spec.id);
   waiters_finish_all (job, &reply);
 }
 
--- a/src/rpc/hk_job.x
+++ b/src/rpc/hk_job.x
@@ -225,11 +225,18 @@
   HK_JOB_REQUEST_PENDING = 3
 };
 
-/* Which attempt of a front end to send a request this is: its number, counted
-   from 1, and the time since the front end received the request. */
+/* An attempt of a front end to send a request: its number, counted from 1, and
+   the time since the front end received the request.
+
+   The leader of @term alone may carry it out. @received_ms and @expires_ms are
+   on that leader's clock, each not later than the true time: when the front end
+   received the request, and when it gives the attempt up. */
 struct hk_request_attempt {
   unsigned number;
   unsigned age_ms;
+  unsigned hyper term;
+  hyper received_ms;
+  hyper expires_ms;
 };
 
 /* A request that a front end forwards to the leading coordinator. */
@@ -246,7 +253,8 @@
   HK_JOB_REQUEST_REFUSED = 1,
   HK_JOB_REQUEST_UNKNOWN = 2,
   HK_JOB_REQUEST_NOT_FOUND = 3,
-  HK_JOB_REQUEST_NOT_LEADING = 4
+  HK_JOB_REQUEST_NOT_LEADING = 4, /* it may have been stored all the same */
+  HK_JOB_REQUEST_NOT_TAKEN = 5    /* this attempt is never carried out */
 };
 
 struct hk_job_request_reply {
@@ -281,6 +289,7 @@
   unsigned hyper term;
   unsigned store_age_ms;
   unsigned capacity_score_percent;
+  hyper clock_ms; /* of the process that replies */
 };
 
 program HK_COORD_PROGRAM {
--- a/src/rpc/hk_job_xdr.c
+++ b/src/rpc/hk_job_xdr.c
@@ -979,6 +979,12 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->received_ms))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->expires_ms))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -1135,6 +1141,8 @@
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->capacity_score_percent))
 			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->clock_ms))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
@@ -1157,6 +1165,8 @@
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->capacity_score_percent))
 			 return FALSE;
+		 if (!xdr_quad_t (xdrs, &objp->clock_ms))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -1172,5 +1182,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->capacity_score_percent))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
 	return TRUE;
 }
--- a/tests/scenario/relay.c
+++ b/tests/scenario/relay.c
@@ -15,6 +15,7 @@
   GIOStream *client;
   GIOStream *target;
   GCancellable *cancel;
+  gboolean held;
   int refs;
 };
 
@@ -75,10 +76,11 @@
   struct flow *f = user;
 
   gboolean reset = g_cancellable_is_cancelled (f->conn->cancel);
+  gboolean held = *f->cut || f->conn->held;
 
-  if (reset || (f->n_read <= 0 && !*f->cut))
+  if (reset || (f->n_read <= 0 && !held))
     flow_end (f);
-  else if (*f->cut)
+  else if (held)
     hk_timer_set (&f->timer, HELD_POLL_MS, flow_forward, f);
   else
     g_output_stream_write_all_async (f->out, f->buffer, (gsize)f->n_read,
@@ -177,9 +179,24 @@
   return r;
 }
 
+void
+relay_hold (struct relay *r)
+{
+  for (GList *l = r->conns; l; l = l->next)
+    ((struct relay_conn *)l->data)->held = TRUE;
+}
+
+void
+relay_release (struct relay *r)
+{
+  for (GList *l = r->conns; l; l = l->next)
+    ((struct relay_conn *)l->data)->held = FALSE;
+}
+
 void
 relay_heal (struct relay *r)
 {
+  relay_release (r);
   r->cut_to = FALSE;
   r->cut_from = FALSE;
   r->delay_ms = 0;
--- a/tests/scenario/relay.h
+++ b/tests/scenario/relay.h
@@ -46,11 +46,24 @@
 void relay_free (struct relay *r);
 
 /**
- * relay_heal() - end cuts and delays; data held back is delivered.
+ * relay_heal() - end cuts, holds and delays; data held back is delivered.
  * @r: link.
  */
 void relay_heal (struct relay *r);
 
+/**
+ * relay_hold() - hold back all data of the connections that are open now, both
+ * ways, also after one of their ends has closed; new connections work.
+ * @r: link.
+ */
+void relay_hold (struct relay *r);
+
+/**
+ * relay_release() - deliver what relay_hold() held back.
+ * @r: link.
+ */
+void relay_release (struct relay *r);
+
 /**
  * relay_reset() - close all connections of a link.
  * @r: link.
