--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -13,6 +13,10 @@
 /* Part of the retention period of ended jobs. The rest covers steps of the
    time of day, by which the coordinator measures that period. */
 #define SUSPENDED_RETENTION_PERCENT 90
+/* Refusals are kept for longer than clients wait for a response, and in at
+   most 3 MB. */
+#define REFUSALS_KEEP_MS 30000
+#define REFUSALS_MAX 20000
 
 int64_t
 coord_wall_ms (void)
@@ -181,7 +185,7 @@
   c->capacity_score_percent = MIN (options->capacity_score_percent,
                                    COORD_CAPACITY_SCORE_MAX_PERCENT);
   LIST_INIT (&c->requests);
-  hk_refusals_init (&c->refusals);
+  hk_recent_ids_init (&c->refusals, REFUSALS_KEEP_MS, REFUSALS_MAX);
   TAILQ_INIT (&c->predecessors);
   c->record_max_bytes = options->record_max_bytes;
   coord_engine_init (c);
@@ -241,7 +245,7 @@
   hk_engine_finish (&c->engine);
   g_free (c->loaded_silent);
   coord_evacuations_finish (&c->evacuations);
-  hk_refusals_finish (&c->refusals);
+  hk_recent_ids_finish (&c->refusals);
   g_hash_table_unref (c->estimates);
   g_hash_table_unref (c->mean_work);
   hk_interference_model_finish (&c->interference_model);
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -14,7 +14,7 @@
 #include "hyssopkeel/interference_model.h"
 #include "hyssopkeel/job_placement.h"
 #include "hyssopkeel/pass_budget.h"
-#include "hyssopkeel/refusals.h"
+#include "hyssopkeel/recent_ids.h"
 #include "hyssopkeel/rpc_channel.h"
 #include "hyssopkeel/rpc_server.h"
 #include "hyssopkeel/timer.h"
@@ -259,7 +259,7 @@
   struct hk_interference_model interference_model;
   struct coord_locality locality;
   LIST_HEAD (, coord_request) requests;
-  struct hk_refusals refusals; /* of requests that change something */
+  struct hk_recent_ids refusals; /* by this process as leader */
   gboolean ends_requests; /* no further attempts; see hk_coord_end_requests */
 
   /* memory of struct coord_pass */
--- a/src/coord/coord_request.c
+++ b/src/coord/coord_request.c
@@ -37,7 +37,7 @@
 {
   g_autofree char *key = refusal_key (kind, id);
 
-  hk_refusals_add (&c->refusals, key, hk_clock_ms ());
+  hk_recent_ids_add (&c->refusals, key, hk_clock_ms ());
 }
 
 static void
@@ -256,7 +256,7 @@
   else if (now > a->expires_ms)
     why = "expired";
   else if (!is_carried_out (c, args)
-           && hk_refusals_supersede (&c->refusals, key, a->received_ms))
+           && hk_recent_ids_added_since (&c->refusals, key, a->received_ms))
     why = "refused meanwhile";
   if (!why)
     return TRUE;
