Clear the takeover timer after the leader's channel is closed

A ping that was not sent yet fails as unavailable when its channel is closed, which suspects the leader and set the takeover timer of a coordinator that was about to be freed. The channel is closed first.

--- a/src/coord/coord_follow.c
+++ b/src/coord/coord_follow.c
@@ -254,13 +254,14 @@
 void
 coord_follow_stop (struct hk_coord *c)
 {
+  /* First, as a ping that fails here sets the takeover timer. */
+  coord_leader_disconnect (c);
   hk_timer_clear (&c->ping_timer);
   hk_timer_clear (&c->takeover_timer);
   hk_timer_clear (&c->watch_retry);
   if (c->watch)
     c->store->ops->unwatch (c->watch);
   c->watch = NULL;
-  coord_leader_disconnect (c);
   g_clear_pointer (&c->leader.name, g_free);
   g_clear_pointer (&c->leader.address, g_free);
 }
