Do not refuse what an earlier request of this process may have stored

What callers saw: 504 for a submission, then 503 with "no coordinator can be reached" for the same id at the same entry, and its tasks ran.

Cause: an entry that reaches no leader refuses what it has not sent on; it looked at the attempts of that request alone. The refusal is about the id.

Change: an entry remembers, for as long as ended jobs are kept and for at most 10,000 ids, which requests were or may have been carried out, and answers that the outcome is unknown (504) where it would have refused one of these itself. A refusal of the leader, which binds earlier attempts, ends the doubt. Refusals of ids without an earlier request are as before. event=request_abandoned has earlier_in_doubt=.

Test: /late_attempts/requests_after_one_in_doubt_are_not_refused; before, the second request was refused.

--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -17,6 +17,7 @@
    most 3 MB. */
 #define REFUSALS_KEEP_MS 30000
 #define REFUSALS_MAX 20000
+#define SENT_ON_MAX 10000
 
 int64_t
 coord_wall_ms (void)
@@ -186,6 +187,7 @@
                                    COORD_CAPACITY_SCORE_MAX_PERCENT);
   LIST_INIT (&c->requests);
   hk_recent_ids_init (&c->refusals, REFUSALS_KEEP_MS, REFUSALS_MAX);
+  hk_recent_ids_init (&c->sent_on, c->keep_ended_ms, SENT_ON_MAX);
   TAILQ_INIT (&c->predecessors);
   c->record_max_bytes = options->record_max_bytes;
   coord_engine_init (c);
@@ -246,6 +248,7 @@
   g_free (c->loaded_silent);
   coord_evacuations_finish (&c->evacuations);
   hk_recent_ids_finish (&c->refusals);
+  hk_recent_ids_finish (&c->sent_on);
   g_hash_table_unref (c->estimates);
   g_hash_table_unref (c->mean_work);
   hk_interference_model_finish (&c->interference_model);
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -260,6 +260,8 @@
   struct coord_locality locality;
   LIST_HEAD (, coord_request) requests;
   struct hk_recent_ids refusals; /* by this process as leader */
+  /* Requests of this process that were or may have been carried out. */
+  struct hk_recent_ids sent_on;
   gboolean ends_requests; /* no further attempts; see hk_coord_end_requests */
 
   /* memory of struct coord_pass */
@@ -358,6 +360,11 @@
 void coord_on_request (struct hk_rpc_request *req, void *args, void *user);
 void coord_request_handle (struct hk_coord *c, const hk_job_request_args *args,
                            hk_coord_request_done done, void *user);
+/* Whether a request changes something, so that its repetition is not free. */
+gboolean coord_request_changes (const hk_job_request_args *args);
+/* Identifies a request for @refusals and @sent_on; submissions and
+   cancellations of one id are apart. Newly allocated. */
+char *coord_request_key (hk_job_request_kind kind, const char *id);
 /* Notes that all earlier attempts of such a request for this id are refused.
    To be called before any caller gets the refusal. */
 void coord_refusal_add (struct hk_coord *c, hk_job_request_kind kind,
--- a/src/coord/coord_forward.c
+++ b/src/coord/coord_forward.c
@@ -29,6 +29,7 @@
   gboolean reached;     /* a coordinator, by an attempt, or perhaps */
   gboolean in_doubt;    /* an attempt may have been carried out */
   gboolean in_flight;   /* an attempt is */
+  gboolean answered;    /* by a coordinator */
   gboolean finished; /* answered; released when the attempt in flight ends */
   struct hk_timer timer;
   hk_coord_request_done done;
@@ -42,52 +43,93 @@
 
 static void request_attempt (struct coord_request *q);
 
+/* Remembers, for later requests of the same id, whether this one was or may
+   have been carried out. A refusal of the leader binds the earlier ones too.
+ */
+static void
+remember_outcome (struct coord_request *q, hk_job_request_outcome outcome)
+{
+  g_autofree char *key = coord_request_key (q->args.kind, q->args.id);
+
+  if (!coord_request_changes (&q->args) || q->args.attempt.number == 0)
+    return;
+  if (outcome != HK_JOB_REQUEST_REFUSED)
+    hk_recent_ids_add (&q->c->sent_on, key, hk_clock_ms ());
+  else if (q->answered)
+    hk_recent_ids_remove (&q->c->sent_on, key);
+}
+
 static void
 request_finish (struct coord_request *q, const hk_job_request_reply *reply)
 {
   hk_timer_clear (&q->timer);
   LIST_REMOVE (q, link);
   q->finished = TRUE;
+  remember_outcome (q, reply->outcome);
   q->done (reply, q->user);
   xdr_free ((xdrproc_t)xdr_hk_job_request_args, (char *)&q->args);
   if (!q->in_flight)
     g_free (q);
 }
 
+static gboolean
+is_in_doubt (const struct coord_request *q)
+{
+  return q->in_doubt || q->in_flight;
+}
+
+/* Whether an earlier request of this process for the same id was, or may have
+   been, carried out. */
+static gboolean
+earlier_in_doubt (const struct coord_request *q)
+{
+  g_autofree char *key = coord_request_key (q->args.kind, q->args.id);
+  const struct coord_request *other;
+
+  if (!coord_request_changes (&q->args))
+    return FALSE;
+  LIST_FOREACH (other, &q->c->requests, link)
+  if (other != q && other->args.kind == q->args.kind && is_in_doubt (other)
+      && strcmp (other->args.id, q->args.id) == 0)
+    return TRUE;
+  return hk_recent_ids_has (&q->c->sent_on, key);
+}
+
+/* Ends a request without an answer of a coordinator: refuses it, unless it or
+   an earlier request of this process for the same id may be carried out. */
 static void
-request_abandon (struct coord_request *q)
+request_end (struct coord_request *q, const char *refusal,
+             unsigned retry_after_s)
 {
-  hk_job_request_reply reply
-      = { .outcome = HK_JOB_REQUEST_UNKNOWN, .reason = "" };
+  gboolean own = is_in_doubt (q);
+  gboolean earlier = earlier_in_doubt (q);
+  hk_job_request_reply reply = { .outcome = HK_JOB_REQUEST_REFUSED,
+                                 .retry_after_s = retry_after_s,
+                                 .reason = (char *)refusal };
 
-  /* An attempt in flight may have been stored by now. */
-  if (!q->in_doubt && !q->in_flight)
+  if (own || earlier)
     {
-      reply.outcome = HK_JOB_REQUEST_REFUSED;
-      reply.reason = "no coordinator can be reached";
-      reply.retry_after_s = COORD_ELSEWHERE_RETRY_AFTER_S;
+      reply.outcome = HK_JOB_REQUEST_UNKNOWN;
+      reply.retry_after_s = 0;
+      reply.reason
+          = own ? (char *)"the coordinator did not answer in time"
+                : (char *)"an earlier request for this id may be carried out";
     }
-  else
-    reply.reason = "the coordinator did not answer in time";
   if (q->c->ends_requests)
-    reply.reason = "this process stops";
+    reply.reason = (char *)"this process stops";
   hk_log (HK_LOG_WARN, "ask", q->c->leader.address, q->args.id,
-          "event=request_abandoned kind=%d in_doubt=%d attempts=%u "
-          "after_ms=%" G_GINT64_FORMAT,
-          q->args.kind, q->in_doubt || q->in_flight, q->args.attempt.number,
-          hk_clock_ms () - q->received_ms);
+          "event=request_abandoned kind=%d refused=%d why=\"%s\" in_doubt=%d "
+          "earlier_in_doubt=%d attempts=%u after_ms=%" G_GINT64_FORMAT,
+          q->args.kind, reply.outcome == HK_JOB_REQUEST_REFUSED, refusal, own,
+          earlier, q->args.attempt.number, hk_clock_ms () - q->received_ms);
   request_finish (q, &reply);
 }
 
 static void
-request_refuse (struct coord_request *q, const char *reason,
-                unsigned retry_after_s)
+request_abandon (struct coord_request *q)
 {
-  hk_job_request_reply reply = { .outcome = HK_JOB_REQUEST_REFUSED,
-                                 .retry_after_s = retry_after_s,
-                                 .reason = (char *)reason };
-
-  request_finish (q, &reply);
+  request_end (q, "no coordinator can be reached",
+               COORD_ELSEWHERE_RETRY_AFTER_S);
 }
 
 static void
@@ -97,14 +139,14 @@
   int64_t now = hk_clock_ms ();
 
   if (!q->encodable)
-    request_refuse (q, COORD_NOT_ENCODABLE, 0);
+    request_end (q, COORD_NOT_ENCODABLE, 0);
   else if (q->stale)
     {
       hk_log (HK_LOG_INFO, "ask", NULL, q->args.id,
               "event=refused queue=%s why=\"" READ_AFTER_SUSPENSION "\" "
               "resumed_ms_ago=%" G_GINT64_FORMAT,
               q->args.queue, now - q->c->resumed_ms);
-      request_refuse (q, READ_AFTER_SUSPENSION, COORD_ELSEWHERE_RETRY_AFTER_S);
+      request_end (q, READ_AFTER_SUSPENSION, COORD_ELSEWHERE_RETRY_AFTER_S);
     }
   else if (now >= q->deadline_ms || q->c->ends_requests
            || (!q->reached && !q->in_flight
@@ -142,6 +184,7 @@
       request_timer_set (q, RETRY_MS);
       return;
     }
+  q->answered = TRUE;
   request_finish (q, reply);
 }
 
--- a/src/coord/coord_request.c
+++ b/src/coord/coord_request.c
@@ -16,16 +16,15 @@
   done (&reply, user);
 }
 
-static gboolean
-changes_something (const hk_job_request_args *args)
+gboolean
+coord_request_changes (const hk_job_request_args *args)
 {
   return args->kind == HK_JOB_REQUEST_SUBMIT
          || args->kind == HK_JOB_REQUEST_CANCEL;
 }
 
-/* Cancellations and submissions of one id are refused independently. */
-static char *
-refusal_key (hk_job_request_kind kind, const char *id)
+char *
+coord_request_key (hk_job_request_kind kind, const char *id)
 {
   return g_strconcat (kind == HK_JOB_REQUEST_CANCEL ? "cancel:" : "", id,
                       NULL);
@@ -35,7 +34,7 @@
 coord_refusal_add (struct hk_coord *c, hk_job_request_kind kind,
                    const char *id)
 {
-  g_autofree char *key = refusal_key (kind, id);
+  g_autofree char *key = coord_request_key (kind, id);
 
   hk_recent_ids_add (&c->refusals, key, hk_clock_ms ());
 }
@@ -45,7 +44,7 @@
         hk_coord_request_done done, void *user, const char *reason,
         unsigned retry_after_s)
 {
-  if (changes_something (args))
+  if (coord_request_changes (args))
     coord_refusal_add (c, args->kind, args->id);
   reply_now (done, user, HK_JOB_REQUEST_REFUSED, reason, retry_after_s);
 }
@@ -247,7 +246,7 @@
                 hk_coord_request_done done, void *user)
 {
   const hk_request_attempt *a = &args->attempt;
-  g_autofree char *key = refusal_key (args->kind, args->id);
+  g_autofree char *key = coord_request_key (args->kind, args->id);
   int64_t now = hk_clock_ms ();
   const char *why = NULL;
 
@@ -289,7 +288,7 @@
       reply_now (done, user, HK_JOB_REQUEST_NOT_TAKEN, "does not lead", 0);
       return;
     }
-  if (changes_something (args) && !attempt_is_due (c, args, done, user))
+  if (coord_request_changes (args) && !attempt_is_due (c, args, done, user))
     return;
   /* A successor may lead already: do not answer from stale state. */
   if (args->kind != HK_JOB_REQUEST_SUBMIT
--- a/tests/coord/test_late_attempts.c
+++ b/tests/coord/test_late_attempts.c
@@ -49,8 +49,11 @@
   options.listen = listen;
   f->leader = coord_start_with (&f->store.base, options, "e1", NULL);
   test_run_until (is_leading, f->leader);
-  f->followers[0] = coord_start (&f->store, "e2", NULL);
-  f->followers[1] = coord_start (&f->store, "e3", NULL);
+  /* Followers wait for a second before they replace a leader. */
+  options.address = options.listen = NULL;
+  options.capacity_score_percent = 1;
+  f->followers[0] = coord_start_with (&f->store.base, options, "e2", NULL);
+  f->followers[1] = coord_start_with (&f->store.base, options, "e3", NULL);
   test_run_until (follows, f->followers[0]);
   test_run_until (follows, f->followers[1]);
 }
@@ -65,6 +68,13 @@
   memory_store_finish (&f->store);
 }
 
+/* Holds back all that is sent to the leader and by it. */
+static void
+link_cut (struct fixture *f, gboolean cut)
+{
+  f->link->cut_to = f->link->cut_from = cut;
+}
+
 static gboolean
 has_job (const struct fixture *f, const char *id)
 {
@@ -140,7 +150,8 @@
 
   fixture_init (&f);
   store_fail (&f);
-  relay_hold (f.link);
+  test_run_until (follows, f.followers[0]);
+  link_cut (&f, TRUE);
   send_request (f.followers[0], HK_JOB_REQUEST_SUBMIT, JOB, &a);
   test_run_for (20);
   hk_coord_end_requests (f.followers[0]);
@@ -149,7 +160,7 @@
   test_run_until (has_reply, &b);
   g_assert_cmpint (b.outcome, ==, HK_JOB_REQUEST_REFUSED);
   store_recover (&f);
-  relay_release (f.link);
+  link_cut (&f, FALSE);
   test_run_for (DELIVERY_MS);
   g_assert_false (has_job (&f, JOB));
   fixture_finish (&f);
@@ -180,6 +191,58 @@
   fixture_finish (&f);
 }
 
+static void
+submit_within (struct hk_coord *c, const char *id, int64_t timeout_ms,
+               struct request_result *a)
+{
+  const unsigned counts[] = { 2, 1, 0 };
+  hk_job_spec *spec = test_job_spec_new (id, counts, 0);
+  hk_job_request_args args = { .kind = HK_JOB_REQUEST_SUBMIT,
+                               .id = (char *)id,
+                               .queue = (char *)"batch",
+                               .job = { 1, spec } };
+
+  memset (a, 0, sizeof *a);
+  hk_coord_request (c, &args, timeout_ms, on_request_reply, a);
+  test_job_spec_free (spec);
+}
+
+/* Guards against a process that reaches no leader and refuses a request of
+   which it has sent on an earlier one, which is carried out. */
+static void
+requests_after_one_in_doubt_are_not_refused (void)
+{
+  struct fixture f;
+  struct request_result a;
+
+  fixture_init (&f);
+  link_cut (&f, TRUE);
+  submit_within (f.followers[0], JOB, 200, &a);
+  test_run_until (has_reply, &a);
+  g_assert_cmpint (a.outcome, ==, HK_JOB_REQUEST_UNKNOWN);
+  f.store.unavailable = TRUE;
+  /* Until the follower has closed its connection. */
+  test_run_for (1500);
+  send_request (f.followers[0], HK_JOB_REQUEST_SUBMIT, OTHER, &a);
+  test_run_until (has_reply, &a);
+  g_assert_cmpint (a.outcome, ==, HK_JOB_REQUEST_REFUSED);
+  send_request (f.followers[0], HK_JOB_REQUEST_SUBMIT, JOB, &a);
+  test_run_until (has_reply, &a);
+  g_assert_cmpint (a.outcome, ==, HK_JOB_REQUEST_UNKNOWN);
+  /* The leader's refusal ends the doubt. */
+  link_cut (&f, FALSE);
+  test_run_until (follows, f.followers[0]);
+  send_request (f.followers[0], HK_JOB_REQUEST_SUBMIT, JOB, &a);
+  test_run_until (has_reply, &a);
+  g_assert_cmpint (a.outcome, ==, HK_JOB_REQUEST_REFUSED);
+  link_cut (&f, TRUE);
+  test_run_for (1500);
+  send_request (f.followers[0], HK_JOB_REQUEST_SUBMIT, JOB, &a);
+  test_run_until (has_reply, &a);
+  g_assert_cmpint (a.outcome, ==, HK_JOB_REQUEST_REFUSED);
+  fixture_finish (&f);
+}
+
 /* A process that speaks to the leader as a front end does. */
 struct sender
 {
@@ -354,6 +417,7 @@
   ADD (refusals_of_later_attempts_hold);
   ADD (refusals_hold_for_attempts_of_other_processes);
   ADD (refusals_of_cancellations_hold);
+  ADD (requests_after_one_in_doubt_are_not_refused);
   ADD (expired_attempts_are_not_carried_out);
   ADD (attempts_of_another_term_are_not_carried_out);
   ADD (refusals_bind_earlier_requests_only);
