Refuse requests that a suspended entry read after its client gave up

By reading, and a test: an entry is suspended with a submission unread in its socket. The client gives up, sends it again elsewhere, and gets 503. The entry resumes and forwards the first request as a new one, and the tasks run.

Cause: the time of receipt that an attempt carries was that of the read, after the refusal.

Refusals by a predecessor are not known to a successor, so a delayed request from before its takeover is refused. Requests whose clients still wait are not affected.

Not shown with real processes.

--- a/include/hyssopkeel/hk_job_xdr.h
+++ b/include/hyssopkeel/hk_job_xdr.h
@@ -292,6 +292,7 @@
 	u_quad_t term;
 	quad_t received_ms;
 	quad_t expires_ms;
+	bool_t delayed;
 };
 typedef struct hk_request_attempt hk_request_attempt;
 
--- a/src/coord/coord.c
+++ b/src/coord/coord.c
@@ -7,9 +7,6 @@
 /* After this time, longer than a takeover, clients are sent to another
    process. */
 #define ISOLATED_MS 1000
-/* Time in which a resumed process reads what arrived while it was suspended.
- */
-#define RESUME_READ_MS 1000
 /* Part of the retention period of ended jobs. The rest covers steps of the
    time of day, by which the coordinator measures that period. */
 #define SUSPENDED_RETENTION_PERCENT 90
@@ -79,27 +76,24 @@
 static void
 note_awake (struct hk_coord *c, int64_t now)
 {
-  int64_t gap_ms = now - c->awake_ms;
+  int64_t gap_ms = hk_suspension_note (&c->suspension, now);
 
-  if (c->awake_ms
-      && gap_ms * 100 >= c->keep_ended_ms * SUSPENDED_RETENTION_PERCENT)
-    {
-      c->resumed_ms = now;
-      hk_log (HK_LOG_WARN, "coord", NULL, NULL,
-              "event=resumed suspended_ms=%" G_GINT64_FORMAT
-              " keep_ended_ms=%" G_GINT64_FORMAT
-              "; submissions are refused for %d ms, as they may have been "
-              "cancelled meanwhile",
-              gap_ms, c->keep_ended_ms, RESUME_READ_MS);
-    }
-  c->awake_ms = now;
+  if (gap_ms * 100 < c->keep_ended_ms * SUSPENDED_RETENTION_PERCENT)
+    return;
+  c->resumed_ms = now;
+  hk_log (HK_LOG_WARN, "coord", NULL, NULL,
+          "event=resumed suspended_ms=%" G_GINT64_FORMAT
+          " keep_ended_ms=%" G_GINT64_FORMAT
+          "; submissions are refused for %d ms, as they may have been "
+          "cancelled meanwhile",
+          gap_ms, c->keep_ended_ms, HK_SUSPENSION_READ_MS);
 }
 
 gboolean
 coord_submission_may_be_stale (struct hk_coord *c, int64_t now)
 {
   note_awake (c, now);
-  return c->resumed_ms && now - c->resumed_ms < RESUME_READ_MS;
+  return c->resumed_ms && now - c->resumed_ms < HK_SUSPENSION_READ_MS;
 }
 
 static void
--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -17,6 +17,7 @@
 #include "hyssopkeel/recent_ids.h"
 #include "hyssopkeel/rpc_channel.h"
 #include "hyssopkeel/rpc_server.h"
+#include "hyssopkeel/suspension.h"
 #include "hyssopkeel/timer.h"
 
 #include "coord_locality.h"
@@ -224,9 +225,9 @@
   int64_t taken_over_ms;
   int64_t leading_since_ms; /* agents are heard since then */
   int64_t pinged_ms;        /* last ping by a follower */
-  int64_t awake_ms;         /* the process was last known to run */
   int64_t resumed_ms;       /* the last long suspension ended; 0 if none */
   int64_t leader_unreachable_since_ms; /* 0 while a leader answers */
+  struct hk_suspension suspension;     /* of this process */
   struct hk_timer watch_retry;
   struct hk_timer ping_timer;
   struct hk_timer takeover_timer; /* also retries a load */
--- a/src/coord/coord_forward.c
+++ b/src/coord/coord_forward.c
@@ -22,6 +22,7 @@
   struct hk_coord *c;
   hk_job_request_args args;
   int64_t received_ms;
+  int64_t sent_ms; /* by the client, or earlier */
   int64_t deadline_ms;
   int64_t attempted_ms; /* the last attempt began */
   gboolean encodable;   /* @args could be copied */
@@ -237,6 +238,7 @@
   q->attempted_ms = hk_clock_ms ();
   a->number++;
   a->age_ms = (u_int)(q->attempted_ms - q->received_ms);
+  a->delayed = q->sent_ms < q->received_ms;
 }
 
 static void
@@ -247,7 +249,7 @@
   attempt_begin (q);
   q->reached = TRUE;
   q->args.attempt.term = c->term;
-  q->args.attempt.received_ms = q->received_ms;
+  q->args.attempt.received_ms = q->sent_ms;
   q->args.attempt.expires_ms = q->deadline_ms;
   request_timer_set (q, q->deadline_ms - q->attempted_ms);
   coord_request_handle (c, &q->args, on_reply, q);
@@ -262,7 +264,7 @@
   attempt_begin (q);
   left = q->deadline_ms - q->attempted_ms;
   q->args.attempt.term = l->clock_term;
-  q->args.attempt.received_ms = coord_leader_clock (l, q->received_ms);
+  q->args.attempt.received_ms = coord_leader_clock (l, q->sent_ms);
   q->args.attempt.expires_ms = coord_leader_clock (
       l, q->attempted_ms + MIN (left, ATTEMPT_TIMEOUT_MS));
   request_timer_set (q, left);
@@ -321,6 +323,9 @@
   q->encodable = request_args_copy (&q->args, args);
   q->stale = args->kind == HK_JOB_REQUEST_SUBMIT
              && coord_submission_may_be_stale (c, q->received_ms);
+  q->sent_ms = args->kind == HK_JOB_REQUEST_SUBMIT ? hk_suspension_sent_ms (
+                   &c->suspension, q->received_ms, timeout_ms)
+                                                   : q->received_ms;
   LIST_INSERT_HEAD (&c->requests, q, link);
   hk_timer_set (&q->timer, 0, on_request_timer, q);
 }
--- a/src/coord/coord_request.c
+++ b/src/coord/coord_request.c
@@ -240,7 +240,11 @@
 
 /* Whether an attempt may be carried out; if not, replies to it. Attempts may
    arrive after their sender has given them up and its client, or that of
-   another process, got a refusal. */
+   another process, got a refusal.
+
+   A delayed request is older than its client waits, so another one may have
+   been refused before this process led. One that is not delayed is still the
+   only one that its client has open. */
 static gboolean
 attempt_is_due (struct hk_coord *c, const hk_job_request_args *args,
                 hk_coord_request_done done, void *user)
@@ -254,9 +258,12 @@
     why = "sent to the leader of another term";
   else if (now > a->expires_ms)
     why = "expired";
-  else if (!is_carried_out (c, args)
-           && hk_recent_ids_added_since (&c->refusals, key, a->received_ms))
+  else if (is_carried_out (c, args))
+    return TRUE;
+  else if (hk_recent_ids_added_since (&c->refusals, key, a->received_ms))
     why = "refused meanwhile";
+  else if (a->delayed && a->received_ms <= c->taken_over_ms)
+    why = "may have been refused by a predecessor meanwhile";
   if (!why)
     return TRUE;
   hk_metric_get ("hyssopkeel_attempts_rejected_total", "")->value++;
@@ -264,9 +271,9 @@
           "event=attempt_rejected kind=%d why=\"%s\" attempt=%u "
           "attempt_term=%" G_GUINT64_FORMAT " term=%" G_GUINT64_FORMAT
           " received_ms_ago=%" G_GINT64_FORMAT
-          " expired_ms_ago=%" G_GINT64_FORMAT,
+          " expired_ms_ago=%" G_GINT64_FORMAT " delayed=%d",
           args->kind, why, a->number, a->term, c->term, now - a->received_ms,
-          now - a->expires_ms);
+          now - a->expires_ms, a->delayed);
   if (a->term == c->term && now <= a->expires_ms)
     reply_now (done, user, HK_JOB_REQUEST_REFUSED, why,
                COORD_ELSEWHERE_RETRY_AFTER_S);
--- a/src/rpc/hk_job.x
+++ b/src/rpc/hk_job.x
@@ -230,13 +230,18 @@
 
    The leader of @term alone may carry it out. @received_ms and @expires_ms are
    on that leader's clock, each not later than the true time: when the front end
-   received the request, and when it gives the attempt up. */
+   received the request, and when it gives the attempt up.
+
+   If it is @delayed, the front end was suspended for longer than clients wait,
+   and @received_ms is when that began: the client may have given up and sent
+   another request meanwhile. */
 struct hk_request_attempt {
   unsigned number;
   unsigned age_ms;
   unsigned hyper term;
   hyper received_ms;
   hyper expires_ms;
+  bool delayed;
 };
 
 /* A request that a front end forwards to the leading coordinator. */
--- a/src/rpc/hk_job_xdr.c
+++ b/src/rpc/hk_job_xdr.c
@@ -985,6 +985,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->expires_ms))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->delayed))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/coord/test_late_attempts.c
+++ b/tests/coord/test_late_attempts.c
@@ -299,8 +299,8 @@
 
 /* Sends an attempt for a request that was received @age_ms ago. */
 static int
-sender_submit (struct sender *s, const char *id, uint64_t term, int64_t age_ms,
-               int64_t timeout_ms)
+sender_submit_delayed (struct sender *s, const char *id, uint64_t term,
+                       int64_t age_ms, int64_t timeout_ms, gboolean delayed)
 {
   const unsigned counts[] = { 2, 1, 0 };
   hk_job_spec *spec = test_job_spec_new (id, counts, 0);
@@ -310,7 +310,11 @@
     .id = (char *)id,
     .queue = (char *)"batch",
     .job = { 1, spec },
-    .attempt = { 1, (u_int)age_ms, term, now - age_ms, now + timeout_ms },
+    .attempt = { .number = 1,
+                 .term = term,
+                 .received_ms = now - age_ms,
+                 .expires_ms = now + timeout_ms,
+                 .delayed = delayed },
   };
 
   memset (&s->result, 0, sizeof s->result);
@@ -320,6 +324,13 @@
   return (int)s->result.outcome;
 }
 
+static int
+sender_submit (struct sender *s, const char *id, uint64_t term, int64_t age_ms,
+               int64_t timeout_ms)
+{
+  return sender_submit_delayed (s, id, term, age_ms, timeout_ms, FALSE);
+}
+
 /* Guards against an attempt that is carried out when its sender, which knows
    no refusal of it, may refuse the request itself. */
 static void
@@ -407,6 +418,36 @@
   memory_store_finish (&store);
 }
 
+/* Guards against a job that runs after its client was refused by a leader that
+   is gone: a suspended process had the client's first request, unread. */
+static void
+delayed_requests_from_before_the_takeover_are_refused (void)
+{
+  struct memory_store store;
+  struct sender s;
+  g_autofree char *address = NULL;
+  struct hk_coord *c;
+
+  memory_store_init (&store);
+  c = coord_start (&store, "e1", &address);
+  test_run_until (is_leading, c);
+  sender_init (&s, address);
+  g_assert_cmpint (
+      sender_submit_delayed (&s, JOB, s.ping.term, 5000, 1000, TRUE), ==,
+      HK_JOB_REQUEST_REFUSED);
+  test_run_for (20);
+  g_assert_cmpint (sender_submit_delayed (&s, JOB, s.ping.term, 1, 1000, TRUE),
+                   ==, HK_JOB_REQUEST_DONE);
+  g_assert_cmpint (
+      sender_submit_delayed (&s, JOB, s.ping.term, 5000, 1000, TRUE), ==,
+      HK_JOB_REQUEST_DONE);
+  g_assert_cmpint (sender_submit (&s, OTHER, s.ping.term, 5000, 1000), ==,
+                   HK_JOB_REQUEST_DONE);
+  hk_rpc_channel_finish (&s.channel);
+  hk_coord_free (c);
+  memory_store_finish (&store);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -421,5 +462,6 @@
   ADD (expired_attempts_are_not_carried_out);
   ADD (attempts_of_another_term_are_not_carried_out);
   ADD (refusals_bind_earlier_requests_only);
+  ADD (delayed_requests_from_before_the_takeover_are_refused);
   return g_test_run ();
 }
