Accept a job that an agent claimed before a lost reply was noticed

By reading, shown by tests: a client of hyssopkeeld's /jobs got 409 with the outcome not-run, and its job ran.

Cause: the store carried out the write of the job, its reply was lost, and an agent claimed the job before the write was repeated. The repetition found a record with another write id and took it for somebody else's. Likewise, an entry that could not connect to the store answered 503, not-run, though an earlier submission of the same id might still be stored.

Change: a record with the fields of the submission is that submission, whoever wrote it last. An entry remembers the ids of submissions whose outcome it does not know, and does not refuse these while the store is unreachable (504, unknown).

--- a/include/hyssopkeel/job_ops.h
+++ b/include/hyssopkeel/job_ops.h
@@ -2,6 +2,7 @@
 #define HYSSOPKEEL_JOB_OPS_H
 
 #include "hyssopkeel/job.h"
+#include "hyssopkeel/recent_ids.h"
 #include "hyssopkeel/store.h"
 #include "hyssopkeel/tables.h"
 
@@ -33,11 +34,17 @@
  * hk_job_submit() - write a new job record to the store.
  * @store: store.
  * @job: record from hk_job_read_request(), copied.
- * @done: completion; HK_ERR_CONFLICT if the id exists already.
+ * @in_doubt: ids of submissions whose outcome the caller does not know, kept
+ *            up to date; NULL if it submits no id twice. Must outlive the
+ * call.
+ * @done: completion; HK_ERR_CONFLICT if the id exists already;
+ *        HK_ERR_TIMEOUT if this or an earlier submission of the id may still
+ * be stored.
  * @user: argument of @done.
  */
 void hk_job_submit (struct hk_store *store, const struct hk_job *job,
-                    hk_job_done done, void *user);
+                    struct hk_recent_ids *in_doubt, hk_job_done done,
+                    void *user);
 
 /**
  * hk_job_fetch() - read a job record from the store.
--- a/src/cli/cmd_jobs.c
+++ b/src/cli/cmd_jobs.c
@@ -83,7 +83,7 @@
   hk_tables_finish (&tables);
   if (code != CLI_OK)
     return code;
-  hk_job_submit (&cli->store.base, &job, on_job, &w);
+  hk_job_submit (&cli->store.base, &job, NULL, on_job, &w);
   cli_wait (cli);
   if (w.code == CLI_UNKNOWN)
     g_printerr ("The job id is %s.\n", job.id);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -8,6 +8,9 @@
 #include "hyssopkeel/id.h"
 #include "hyssopkeel/log.h"
 
+/* Longer than clients keep sending a submission again. */
+#define JOBS_IN_DOUBT_KEEP_MS 600000
+#define JOBS_IN_DOUBT_MAX 10000
 #define RESTARTS_MAX 5
 #define RESTART_PERIOD_MS 30000
 
@@ -31,6 +34,7 @@
       return;
     }
   hk_tables_finish (&entry->tables);
+  hk_recent_ids_finish (&entry->jobs_in_doubt);
   entry->tables = updated;
   hk_metric_get ("hyssopkeel_tables_revision", "")->value
       = (double)updated.revision;
@@ -89,6 +93,8 @@
   entry->place = settings->random_placement ? hk_place_random : hk_place;
   entry->random = g_rand_new ();
   hk_tables_init (&entry->tables);
+  hk_recent_ids_init (&entry->jobs_in_doubt, JOBS_IN_DOUBT_KEEP_MS,
+                      JOBS_IN_DOUBT_MAX);
   hk_store_etcd_init (&entry->store, settings->store,
                       settings->store_timeout_ms);
   hk_members_init (&entry->members, entry);
@@ -138,6 +144,7 @@
   hk_supervisor_stop (&entry->root);
   hk_store_etcd_finish (&entry->store);
   hk_tables_finish (&entry->tables);
+  hk_recent_ids_finish (&entry->jobs_in_doubt);
   g_hash_table_unref (entry->route_stats);
   g_rand_free (entry->random);
   g_free (entry->incarnation);
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -3,6 +3,7 @@
 
 #include <libsoup/soup.h>
 
+#include "hyssopkeel/recent_ids.h"
 #include "hyssopkeel/entry.h"
 #include "hyssopkeel/health.h"
 #include "hyssopkeel/hk_rpc_xdr.h"
@@ -214,6 +215,7 @@
  * @place: placement policy.
  * @random: random number generator of the placement policy.
  * @next_request_seq: sequence number of the next request.
+ * @jobs_in_doubt: jobs submitted here that may be stored, by id.
  *
  * Entries are interchangeable: a client may use any of them.
  */
@@ -232,6 +234,7 @@
   GRand *random;
   uint64_t next_request_seq;
   gboolean draining;
+  struct hk_recent_ids jobs_in_doubt;
   struct hk_entry_store_mirror store_mirror;
   struct hk_peers peers;
   struct hk_members members;
--- a/src/entry/http_jobs.c
+++ b/src/entry/http_jobs.c
@@ -71,7 +71,7 @@
                                err.text);
       return;
     }
-  hk_job_submit (&entry->store.base, &job, on_job_reply,
+  hk_job_submit (&entry->store.base, &job, &entry->jobs_in_doubt, on_job_reply,
                  pause_message (entry, msg, SOUP_STATUS_CREATED));
   hk_job_finish (&job);
 }
--- a/src/jobs/job_ops.c
+++ b/src/jobs/job_ops.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#include "hyssopkeel/clock.h"
 #include "hyssopkeel/id.h"
 #include "hyssopkeel/record.h"
 
@@ -90,6 +91,7 @@
   struct hk_store *store;
   char *id;
   struct hk_job job;
+  struct hk_recent_ids *in_doubt;
   int conflicts;
   hk_job_done done;
   void *user;
@@ -143,25 +145,62 @@
   return rc;
 }
 
+/* Whether a stored record is that of a submission, which others may have
+   changed since: an agent may claim a job before a lost reply is noticed. */
+static gboolean
+is_submission (const struct hk_store_kv *kv, const struct hk_job *submitted)
+{
+  struct hk_job stored = { 0 };
+  gboolean same;
+
+  if (!kv || hk_job_parse (&stored, kv->value, kv->len, NULL) < 0)
+    return FALSE;
+  same = stored.submitted_ms == submitted->submitted_ms
+         && g_strcmp0 (stored.route, submitted->route) == 0
+         && g_strcmp0 (stored.team, submitted->team) == 0
+         && g_strcmp0 (stored.payload, submitted->payload) == 0;
+  hk_job_finish (&stored);
+  return same;
+}
+
+/* An earlier submission of the id may be stored after this one failed. */
+static int
+resolve_earlier (struct operation *op, int rc)
+{
+  if (!op->in_doubt)
+    return rc;
+  if (rc == HK_ERR_TIMEOUT)
+    hk_recent_ids_add (op->in_doubt, op->id, hk_clock_ms ());
+  else if (rc == HK_ERR_UNAVAILABLE
+           && hk_recent_ids_has (op->in_doubt, op->id))
+    return HK_ERR_TIMEOUT;
+  else if (rc != HK_ERR_UNAVAILABLE)
+    hk_recent_ids_remove (op->in_doubt, op->id);
+  return rc;
+}
+
 static void
 on_submitted (int rc, const struct hk_store_kv *current,
               const struct hk_error *err, void *user)
 {
   struct operation *op = user;
 
+  if (rc == HK_ERR_CONFLICT && is_submission (current, &op->job))
+    rc = HK_OK;
   if (rc == HK_OK)
     op->job.mod_revision = current->mod_revision;
-  operation_finish (op, rc, err);
+  operation_finish (op, resolve_earlier (op, rc), err);
 }
 
 void
 hk_job_submit (struct hk_store *store, const struct hk_job *job,
-               hk_job_done done, void *user)
+               struct hk_recent_ids *in_doubt, hk_job_done done, void *user)
 {
   struct operation *op = operation_new (store, job->id, done, user);
   g_autofree char *value = hk_job_write (job);
   g_autofree char *key = hk_job_key (job->id);
 
+  op->in_doubt = in_doubt;
   hk_job_parse (&op->job, value, strlen (value), NULL);
   hk_record_put (store, key, 0, value, job->write_id, WRITE_TIMEOUT_MS,
                  on_submitted, op);
--- a/tests/unit/fake_store.c
+++ b/tests/unit/fake_store.c
@@ -4,12 +4,12 @@
 #include <string.h>
 
 static void
-fail_without_reply (hk_store_done done, void *user)
+fail (int code, hk_store_done done, void *user)
 {
   struct hk_error err;
 
-  hk_error_set (&err, HK_ERR_IO, "store.txn", "fake", "no reply received");
-  done (HK_ERR_IO, NULL, &err, user);
+  hk_error_set (&err, code, "store.txn", "fake", "no reply received");
+  done (code, NULL, &err, user);
 }
 
 static void
@@ -21,10 +21,15 @@
   struct hk_store_kv kv = { 0 };
 
   g_assert_cmpuint (n, ==, 1);
+  if (s->unreachable)
+    {
+      fail (HK_ERR_UNAVAILABLE, done, user);
+      return;
+    }
   if (s->drop_requests > 0)
     {
       s->drop_requests--;
-      fail_without_reply (done, user);
+      fail (HK_ERR_IO, done, user);
       return;
     }
   res.succeeded = txns->compares[0].mod_revision == s->mod_revision;
@@ -46,7 +51,7 @@
   if (s->drop_replies > 0)
     {
       s->drop_replies--;
-      fail_without_reply (done, user);
+      fail (HK_ERR_IO, done, user);
       return;
     }
   done (HK_OK, &res, NULL, user);
--- a/tests/unit/fake_store.h
+++ b/tests/unit/fake_store.h
@@ -13,6 +13,7 @@
  * @drop_requests: number of next transactions that fail without effect.
  * @drop_replies: number of next transactions that take effect, but whose reply
  *                is lost.
+ * @unreachable: transactions fail as if no store listened.
  * @writes: number of writes that took effect.
  */
 struct fake_store
@@ -23,6 +24,7 @@
   int64_t revision;
   int drop_requests;
   int drop_replies;
+  gboolean unreachable;
   int writes;
 };
 
