--- a/tests/coord/coord_support.c
+++ b/tests/coord/coord_support.c
@@ -55,6 +55,18 @@
   return ((struct request_result *)user)->n_replies > 0;
 }
 
+gboolean
+store_works (void *user)
+{
+  struct request_result a;
+  static unsigned n;
+  g_autofree char *id = g_strdup_printf ("3%015x", n++);
+
+  send_request (user, HK_JOB_REQUEST_SUBMIT, id, &a);
+  test_run_until (has_reply, &a);
+  return a.outcome == HK_JOB_REQUEST_DONE;
+}
+
 void
 send_request_with_flags (struct hk_coord *c, hk_job_request_kind kind,
                          const char *id, unsigned flags,
--- a/tests/coord/coord_support.h
+++ b/tests/coord/coord_support.h
@@ -80,6 +80,13 @@
 /** is_leading() - whether a coordinator leads, for test_run_until(). */
 gboolean is_leading (void *user);
 
+/** Longer than commits fail before new jobs are refused. */
+#define COORD_TEST_STORE_FAILING_MS 800
+
+/** store_works() - submit a job to a coordinator; whether it is accepted, for
+ * test_run_until(). */
+gboolean store_works (void *user);
+
 /** has_reply() - whether the reply to a request has arrived, for
  * test_run_until(). */
 gboolean has_reply (void *user);
