Deliver in the soak what its sender has given up

Connections that are open are held back, or all are, for longer than entries wait, while the store refuses or is silent; what was held arrives shortly after that outage, also on connections that their senders have closed. Half of the clients give a job up after one attempt. A job counts as refused as soon as all of its attempts were and none is open, in all modes of the soak; a refusal of a job that has started is a violation as well.

A relay now gathers what it holds back and delivers it as a whole, as TCP does. It delivered the first part, the reply to which reset the connection.

--- a/tests/scenario/relay.c
+++ b/tests/scenario/relay.c
@@ -70,18 +70,34 @@
     flow_read (f);
 }
 
+/* Data that is held back piles up, and arrives as a whole: a reply to its
+   first part may reset the connection. */
+static void
+flow_gather (struct flow *f)
+{
+  gssize n = 0;
+
+  if (f->n_read > 0 && f->n_read < CHUNK_BYTES)
+    n = g_pollable_input_stream_read_nonblocking (
+        G_POLLABLE_INPUT_STREAM (f->in), f->buffer + f->n_read,
+        (gsize)(CHUNK_BYTES - f->n_read), NULL, NULL);
+  f->n_read += MAX (n, 0);
+}
+
 static void
 flow_forward (void *user)
 {
   struct flow *f = user;
-
   gboolean reset = g_cancellable_is_cancelled (f->conn->cancel);
   gboolean held = *f->cut || f->conn->held;
 
   if (reset || (f->n_read <= 0 && !held))
     flow_end (f);
   else if (held)
-    hk_timer_set (&f->timer, HELD_POLL_MS, flow_forward, f);
+    {
+      flow_gather (f);
+      hk_timer_set (&f->timer, HELD_POLL_MS, flow_forward, f);
+    }
   else
     g_output_stream_write_all_async (f->out, f->buffer, (gsize)f->n_read,
                                      G_PRIORITY_DEFAULT, f->conn->cancel,
--- a/tests/soak/clients.c
+++ b/tests/soak/clients.c
@@ -180,7 +180,16 @@
       return;
     }
   job->c->refused++;
+}
+
+/* All attempts were refused, none of them open now. */
+static void
+mark_refused (struct soak_job *job)
+{
   g_hash_table_add (job->c->oracle->refused, g_strdup (job->id));
+  if (soak_oracle_job_started (job->c->oracle, job->id))
+    soak_violation (job->c->oracle,
+                    "%s is refused, and its tasks have started", job->id);
 }
 
 static void
@@ -197,10 +206,12 @@
     }
   if (status != 503 && status != 429)
     job->may_be_accepted = TRUE;
+  if (!job->may_be_accepted)
+    mark_refused (job);
   if (status >= 400 && status < 500 && status != 429)
     soak_violation (job->c->oracle, "%s is refused with status %u", job->id,
                     status);
-  if (job->attempts < ATTEMPTS_MAX)
+  if (job->attempts < job->attempts_max)
     g_timeout_add (RETRY_DELAY_MS, on_retry, job);
   else
     count_unaccepted (job);
@@ -212,6 +223,7 @@
   g_autofree char *body = soak_job_body (job->kind, job->id, job->c->racks);
 
   job->attempts++;
+  g_hash_table_remove (job->c->oracle->refused, job->id);
   request_send (job->c, NULL, job, "POST", body, on_submit_reply);
 }
 
@@ -264,6 +276,9 @@
                                   c->submit_lasting);
   if (job->kind == SOAK_JOB_LASTING)
     job->cancel_after_ms = soak_job_lifetime_ms (c->job_rand);
+  job->attempts_max = ATTEMPTS_MAX;
+  if (c->impatient)
+    job->attempts_max = g_rand_boolean (c->job_rand) ? 1 : ATTEMPTS_MAX;
   g_ptr_array_add (c->jobs, job);
   job_submit (job);
   return G_SOURCE_CONTINUE;
--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -22,6 +22,7 @@
 /**
  * struct soak_job - a job that was submitted.
  * @attempts: requests to submit it.
+ * @attempts_max: the client gives up after so many.
  * @may_be_accepted: an attempt without a clear answer may have been carried
  *                   out.
  * @cancel_after_ms: it is cancelled this long after it was accepted; 0 if not.
@@ -36,6 +37,7 @@
   char *id;
   enum soak_job_kind kind;
   unsigned attempts;
+  unsigned attempts_max;
   gboolean may_be_accepted;
   gboolean accepted;
   gboolean cancelled;
@@ -69,6 +71,7 @@
  *              before are wrong.
  * @submit_deadly: whether some jobs have such a task.
  * @submit_lasting: some jobs last, and some are best-effort work.
+ * @impatient: half of the clients give up a job after one attempt.
  * @odd: jobs have specs and images that are odd, and not deadly.
  * @racks: jobs have their data on a rack.
  */
@@ -95,6 +98,7 @@
   int64_t stalled_ms;
   gboolean submit_deadly;
   gboolean submit_lasting;
+  gboolean impatient;
   gboolean odd;
   gboolean racks;
 };
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -12,6 +12,9 @@
 #define SERIES_STEP_MAX_MS 1200
 #define STARTUP_MAX_MS 1000
 #define ENDPOINT_DOWN_MAX_MS 3000
+/* Entries give up an attempt and try again within this time. */
+#define PEERS_OUTAGE_MS 1800
+#define PEERS_STEP_MS 400
 
 /* A part of a series that is still to come. */
 struct soak_action
@@ -186,8 +189,55 @@
     node_signal (s, &s->nodes[i], SIGKILL);
 }
 
+/* Links between entries */
+
+static void
+peers_release (struct soak *s, struct soak_node *n, int arg)
+{
+  (void)n;
+  (void)arg;
+  s->peers_held = FALSE;
+  for (unsigned i = 0; i < s->n_entries; i++)
+    relay_heal (s->nodes[i].peer_link);
+}
+
+static void
+store_fail (struct soak *s, struct soak_node *n, int ms)
+{
+  (void)n;
+  if (g_rand_boolean (s->rand))
+    s->store.down = TRUE;
+  else
+    s->store.unresponsive = TRUE;
+  s->store_heal_at_ms = hk_clock_ms () + ms;
+}
+
 /* Series */
 
+/* Entries cannot reach each other over the connections that are open, or not
+   at all, for longer than they wait for an answer. What was held back arrives
+   shortly after an outage of the store, in which they refuse jobs. */
+static void
+series_peers (struct soak *s, struct soak_node *n, int cut)
+{
+  int begin_ms = random_ms (s, 0, PEERS_STEP_MS);
+  int outage_ms = random_ms (s, PEERS_OUTAGE_MS, PEERS_OUTAGE_MS * 3 / 2);
+
+  if (s->peers_held)
+    return;
+  s->peers_held = TRUE;
+  for (unsigned i = 0; i < s->n_entries; i++)
+    if (cut)
+      s->nodes[i].peer_link->cut_to = s->nodes[i].peer_link->cut_from = TRUE;
+    else
+      relay_hold (s->nodes[i].peer_link);
+  schedule (s, begin_ms, store_fail, NULL, outage_ms);
+  if (g_rand_int_range (s->rand, 0, 4) == 0)
+    schedule (s, begin_ms, node_signal, n, SIGKILL);
+  schedule (s, begin_ms + outage_ms + random_ms (s, 0, PEERS_STEP_MS),
+            peers_release, NULL, 0);
+}
+
 /* An endpoint crashes while orders are unanswered, with @sig shortly after its
    agent is restarted. */
 static void
@@ -252,13 +302,16 @@
   { 1, endpoint_resize, 1, TRUE },       { 1, endpoint_resize, 3, TRUE },
   { 1, series_machine, SIGTERM, TRUE },  { 1, series_machine, SIGKILL, TRUE },
   { 1, series_rolling, 0, FALSE },       { 1, series_process, SIGSTOP, FALSE },
-  { 1, series_process, SIGKILL, FALSE },
+  { 1, series_process, SIGKILL, FALSE }, { 8, series_peers, 0, FALSE },
+  { 2, series_peers, 1, FALSE },
 };
 
 /* With late orders, an endpoint that crashes is the fault of interest. */
 static int
 fault_share (const struct soak *s, const struct fault *f)
 {
+  if (f->run == series_peers && !s->peers)
+    return 0;
   return s->late && f->run == series_machine ? 5 * f->share : f->share;
 }
 
@@ -355,6 +408,8 @@
       relay_heal (n->store_link);
       if (n->worker_link)
         relay_heal (n->worker_link);
+      if (n->peer_link)
+        relay_heal (n->peer_link);
     }
 }
 
--- a/tests/soak/oracle.c
+++ b/tests/soak/oracle.c
@@ -64,6 +64,15 @@
   return soak_oracle_task (o, name);
 }
 
+gboolean
+soak_oracle_job_started (struct soak_oracle *o, const char *job)
+{
+  for (int i = 0; i < SOAK_FIRST_STEP_TASKS; i++)
+    if (soak_oracle_job_task (o, job, i)->started_ms)
+      return TRUE;
+  return FALSE;
+}
+
 void
 soak_oracle_start (struct soak_oracle *o, const char *name, const char *where,
                    gboolean crashes_worker, gboolean late)
--- a/tests/soak/oracle.h
+++ b/tests/soak/oracle.h
@@ -33,7 +33,8 @@
  * @tasks: struct soak_task, by name; names have the form JOB.0.STEP.INDEX.
  * @cancelled: jobs that may start nothing any more, by id: their cancel was
  *             acknowledged and its grace period is over.
- * @refused: jobs for which every attempt to submit was refused, by id.
+ * @refused: jobs for which every attempt to submit was refused so far and none
+ *           is open, by id.
  * @starts: runs started.
  * @late_starts: those of @starts that were ordered seconds before.
  * @violations: broken guarantees; each was printed.
@@ -66,6 +67,10 @@
 struct soak_task *soak_oracle_job_task (struct soak_oracle *o, const char *job,
                                         int i);
 
+/** soak_oracle_job_started() - whether a task of the first step has started.
+ */
+gboolean soak_oracle_job_started (struct soak_oracle *o, const char *job);
+
 /**
  * soak_oracle_start() - check and record a start.
  * @name: task.
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -21,6 +21,9 @@
 /* With evacuations, faults are rarer: a start in an evacuated domain counts
    only on a machine that was not disrupted for seconds. */
 #define EVACUATE_FAULT_FACTOR 6
+/* With links that deliver late, too: an entry that is killed meanwhile loses
+   what it was to receive. */
+#define PEERS_FAULT_FACTOR 3
 /* Time between two looks at what is due, and when this process counts as
    having fallen behind. */
 #define TURN_MS 20
@@ -55,17 +58,21 @@
   g_autofree char *ready = soak_address ();
   g_autofree char *metrics = soak_address ();
   g_autofree char *via = soak_address ();
+  g_autofree char *announce = s->peers ? soak_address () : g_strdup (rpc);
   g_autofree char *text = NULL;
 
   n->name = g_strdup_printf ("entry-%u", i);
+  if (s->peers)
+    n->peer_link = relay_new (n->name, announce, rpc);
   n->store_link = relay_new (n->name, via, s->store.address);
   text = g_strdup_printf (
       "{\"role\":\"entry\",\"name\":\"%s\",\"domain\":\"%s\",\"store\":\"%s\","
-      "\"metrics\":\"%s\",\"rpc\":\"%s\",\"clients\":\"%s\","
+      "\"metrics\":\"%s\",\"rpc\":\"%s\",\"announce\":\"%s\","
+      "\"clients\":\"%s\","
       "\"readiness\":\"%s\",\"own_ms\":4000,\"grant_ms\":1000,"
       "\"hold_ms\":1500,\"remote_factor\":%d}",
-      n->name, soak_domain_name (s, i), via, metrics, rpc, clients, ready,
-      s->clients.racks ? SOAK_REMOTE_FACTOR : 0);
+      n->name, soak_domain_name (s, i), via, metrics, rpc, announce, clients,
+      ready, s->clients.racks ? SOAK_REMOTE_FACTOR : 0);
   write_settings (s, n, text);
   n->entry = soak_clients_add_entry (&s->clients, clients);
 }
@@ -129,7 +136,8 @@
   s->seed = seed;
   s->rand = g_rand_new_with_seed (seed);
   s->interval_ms = size->fault_interval_ms
-                   * (s->evacuations.enabled ? EVACUATE_FAULT_FACTOR : 1);
+                   * (s->evacuations.enabled ? EVACUATE_FAULT_FACTOR : 1)
+                   * (s->peers ? PEERS_FAULT_FACTOR : 1);
   s->n_entries = size->entries;
   s->n_agents = size->agents;
   s->nodes = g_new0 (struct soak_node, s->n_entries + s->n_agents);
@@ -165,6 +173,8 @@
       relay_free (s->nodes[i].store_link);
       if (s->nodes[i].worker_link)
         relay_free (s->nodes[i].worker_link);
+      if (s->nodes[i].peer_link)
+        relay_free (s->nodes[i].peer_link);
       g_free (s->nodes[i].name);
       g_free (s->nodes[i].settings);
     }
@@ -258,6 +268,10 @@
             "Number of processes: small (default) or large", "SIZE" },
           { "late", 0, 0, G_OPTION_ARG_NONE, &s.late,
             "Orders may be carried out seconds later", NULL },
+          { "peers", 0, 0, G_OPTION_ARG_NONE, &s.peers,
+            "Links between entries deliver what their senders have given up, "
+            "while the store fails; some clients do not retry",
+            NULL },
           { "odd", 0, 0, G_OPTION_ARG_NONE, &s.clients.odd,
             "Odd and long texts in jobs, lists and reports", NULL },
           { "racks", 0, 0, G_OPTION_ARG_NONE, &s.clients.racks,
@@ -285,6 +299,7 @@
       return 2;
     }
   signal (SIGPIPE, SIG_IGN);
+  s.clients.impatient = s.peers;
   soak_init (&s, size, (unsigned)seed);
   soak_recover_due (&s, TRUE);
   turns = g_timeout_add (TURN_MS, on_turn, &s);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -16,6 +16,8 @@
  * @store_link: its link to the store.
  * @worker_link: link to its worker; NULL for an entry, and for an agent that
  *               connects directly.
+ * @peer_link: link over which agents and other entries reach an entry; NULL if
+ *             they connect directly.
  * @pid: 0 while it does not run.
  * @start_at_ms: when it is started again.
  * @thaw_at_ms: when it continues; 0 unless it is frozen.
@@ -33,6 +35,7 @@
   struct soak_worker *worker;
   struct relay *store_link;
   struct relay *worker_link;
+  struct relay *peer_link;
   GPid pid;
   int64_t started_ms;
   int64_t start_at_ms;
@@ -47,8 +50,11 @@
  * struct soak - all processes, stand-ins and clients of a run.
  * @nodes: entries first, then agents.
  * @late: orders may be carried out late.
+ * @peers: links between entries hold back what was sent, and deliver it after
+ *         the sender has given up.
  * @seed: every choice of a fault follows from it and the fault's number.
  * @interval_ms: mean time between two faults.
+ * @peers_held: links between entries hold back what is sent.
  * @actions: parts of a series of faults that are still to come.
  */
 struct soak
@@ -64,12 +70,14 @@
   unsigned n_entries;
   unsigned n_agents;
   gboolean late;
+  gboolean peers;
   unsigned seed;
   unsigned interval_ms;
   GRand *rand;
   char *dir;
   TAILQ_HEAD (, soak_action) actions;
   int64_t store_heal_at_ms;
+  gboolean peers_held;
   unsigned config_version;
   unsigned faults;
 };
