Do not compare the id of a request that cannot be encoded

Such a request has no copy of its id. Since an entry that refused one while another request was in doubt ended with a segmentation fault; found by reading. Only a check that is missing where jobs enter lets one through.

Test: /late_attempts/requests_that_cannot_be_encoded_are_refused, which ended the process before.

--- a/src/coord/coord_forward.c
+++ b/src/coord/coord_forward.c
@@ -31,7 +31,7 @@
   gboolean in_doubt;    /* an attempt may have been carried out */
   gboolean in_flight;   /* an attempt is */
   gboolean answered;    /* by a coordinator */
-  gboolean finished; /* answered; released when the attempt in flight ends */
+  gboolean finished;    /* released when the attempt in flight ends */
   struct hk_timer timer;
   hk_coord_request_done done;
   void *user;
@@ -87,7 +87,7 @@
   g_autofree char *key = coord_request_key (q->args.kind, q->args.id);
   const struct coord_request *other;
 
-  if (!coord_request_changes (&q->args))
+  if (!q->encodable || !coord_request_changes (&q->args))
     return FALSE;
   LIST_FOREACH (other, &q->c->requests, link)
   if (other != q && other->args.kind == q->args.kind && is_in_doubt (other)
--- a/tests/coord/test_late_attempts.c
+++ b/tests/coord/test_late_attempts.c
@@ -274,6 +274,31 @@
   fixture_finish (&f);
 }
 
+/* Guards against a crash: the id of a request that can't be encoded is not
+   known when it is compared with those in doubt. */
+static void
+requests_that_cannot_be_encoded_are_refused (void)
+{
+  struct memory_store s;
+  struct request_result a;
+  struct request_result b;
+  g_autofree char *id = g_strnfill (HK_JOB_NAME_MAX + 1, '1');
+  struct hk_coord *c;
+
+  memory_store_init (&s);
+  c = coord_start (&s, "e1", NULL);
+  test_run_until (is_leading, c);
+  s.unavailable = TRUE;
+  send_request (c, HK_JOB_REQUEST_SUBMIT, JOB, &a);
+  test_run_for (20);
+  g_assert_cmpint (a.n_replies, ==, 0);
+  send_request (c, HK_JOB_REQUEST_SUBMIT, id, &b);
+  test_run_until (has_reply, &b);
+  g_assert_cmpint (b.outcome, ==, HK_JOB_REQUEST_REFUSED);
+  hk_coord_free (c);
+  memory_store_finish (&s);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -286,5 +311,6 @@
   ADD (refusals_of_cancellations_hold);
   ADD (refusals_of_a_successor_hold_for_commits_of_its_predecessor);
   ADD (requests_after_one_in_doubt_are_not_refused);
+  ADD (requests_that_cannot_be_encoded_are_refused);
   return g_test_run ();
 }
