Do not count pings to a former leader against its successor

Cause: entry-0 led in term 2 since 53.944 s. When entry-1 learned of it, it closed its channel to the leader of term 1, on which a ping was still to be sent. That ping failed as unavailable, not as stopped, and counted against the new leader (event=leader_suspected why="channel closed" term=2 missed=4), which entry-1 replaced at 54.025 s. A leader may deny that a job exists for 450 ms after a commit, as nobody can replace it sooner; entry-0 did.

Change: a ping that fails because this process closes the channel says nothing about the leader.

Test: /coord/pings_to_a_former_leader_do_not_count_against_its_successor; before, the process led within 300 ms of the new lead record.

--- a/src/coord/coord.h
+++ b/src/coord/coord.h
@@ -163,6 +163,7 @@
   struct hk_rpc_channel channel;
   gboolean connected;
   gboolean pinging;
+  gboolean closing;      /* calls that fail now say nothing of the leader */
   unsigned missed_pings; /* pings timed out or failed in a row */
   /* Valid while connected: at @clock_read_ms the leader's clock showed
      @clock_ms or more, and it led in @clock_term. */
--- a/src/coord/coord_follow.c
+++ b/src/coord/coord_follow.c
@@ -125,7 +125,7 @@
   const char *why;
 
   l->pinging = FALSE;
-  if (rc == HK_ERR_STOPPED || c->state != COORD_FOLLOWING)
+  if (l->closing || rc == HK_ERR_STOPPED || c->state != COORD_FOLLOWING)
     return;
   if (rc == HK_OK && reply->leading)
     {
--- a/src/coord/coord_lead.c
+++ b/src/coord/coord_lead.c
@@ -16,8 +16,10 @@
 void
 coord_leader_disconnect (struct hk_coord *c)
 {
+  c->leader.closing = TRUE;
   if (c->leader.channel.address)
     hk_rpc_channel_finish (&c->leader.channel);
+  c->leader.closing = FALSE;
   c->leader.connected = FALSE;
   c->leader.missed_pings = 0;
 }
--- a/tests/coord/test_lead.c
+++ b/tests/coord/test_lead.c
@@ -6,6 +6,7 @@
 #include "coord_support.h"
 #include "hyssopkeel/clock.h"
 #include "hyssopkeel/engine.h"
+#include "hyssopkeel/listener.h"
 #include "hyssopkeel/log.h"
 
 /* A commit that reaches the store after a takeover must have no effect. */
@@ -421,6 +422,45 @@
   memory_store_finish (&s);
 }
 
+/* Guards against a healthy leader that is replaced at once: the ping that was
+   still to be sent to its predecessor failed as the channel was closed. Within
+   so short a time a leader may deny that a job exists. */
+static void
+pings_to_a_former_leader_do_not_count_against_its_successor (void)
+{
+  struct memory_store s;
+  struct hk_error err;
+  struct hk_coord *c = NULL;
+  GSocket *silent[2];
+  char *address[2] = { test_address (), test_address () };
+
+  memory_store_init (&s);
+  for (int i = 0; i < 2; i++)
+    g_assert_cmpint (hk_listener_new (&silent[i], "test", address[i], &err),
+                     ==, HK_OK);
+  for (int i = 0; i < 2; i++)
+    {
+      g_autofree char *lead = g_strdup_printf ("{\"term\":%d,\"name\":\"x%d\","
+                                               "\"address\":\"%s\"}",
+                                               i + 1, i, address[i]);
+
+      put (&s, HK_KEY_LEAD, lead, 0);
+      if (i == 0)
+        c = coord_start (&s, "e1", NULL);
+      /* Shorter than the time limit of a ping. */
+      test_run_for (300);
+      g_assert_false (hk_coord_leading (c));
+    }
+  test_run_until (is_leading, c);
+  hk_coord_free (c);
+  for (int i = 0; i < 2; i++)
+    {
+      g_object_unref (silent[i]);
+      g_free (address[i]);
+    }
+  memory_store_finish (&s);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -437,5 +477,6 @@
   ADD (takeovers_do_not_restart_the_wait);
   ADD (store_outages_for_all_keep_the_leader);
   ADD (low_score_leaders_settle_before_replacement);
+  ADD (pings_to_a_former_leader_do_not_count_against_its_successor);
   return g_test_run ();
 }
